--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -1,4 +1,4 @@
-// Command simhost runs windlanding's decisions on the simulator's wire: it hosts one controller for
+// Command simhost runs falldeal's decisions on the simulator's wire: it hosts one controller for
 // each node, reads batches of events from standard input and answers each with a batch of actions.
 package main
 
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"windlanding/decide"
-	"windlanding/wire"
+	"falldeal/decide"
+	"falldeal/wire"
 )
 
 func main() {
--- a/decide/api.go
+++ b/decide/api.go
@@ -1,4 +1,4 @@
-// Package decide is windlanding's overload controller: it decides, inside one server, what is run,
+// Package decide is falldeal's overload controller: it decides, inside one server, what is run,
 // turned away or failed, and which calls to the tier below are made. It does no I/O and has no clock,
 // goroutine or global of its own: feed it events with Step and carry out the actions that it returns.
 //
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"windlanding/decide"
+	"falldeal/decide"
 )
 
 // A server feeds what happens to it and carries out the actions in order.
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"windlanding/decide"
+	"falldeal/decide"
 )
 
 type conf struct {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"windlanding/decide"
+	"falldeal/decide"
 )
 
 // Kind tells what a message asks of the host.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"windlanding/decide"
+	"falldeal/decide"
 )
 
 const us1 = time.Microsecond
