Serve front ends on real sockets round the decision module

One loop owns the controller, every request and every deadline; connections, agent, store and announce service are joined to it by bounded channels.

--- /dev/null
+++ b/cmd/falldeal/main.go
@@ -0,0 +1,128 @@
+// Command falldeal is an image server that knows how much it can take.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"falldeal/internal/config"
+	"falldeal/internal/logging"
+	"falldeal/internal/msgpackrpc"
+	"falldeal/internal/server"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/pflag"
+)
+
+const (
+	heapShare = 0.7                   // of the memory limit, for the garbage collector to keep to
+	exitSpare = 30 * time.Millisecond // before the process is stopped, when it ends in any case
+)
+
+// version is set by the linker where a release is built.
+var version = "dev"
+
+const usage = `Usage: falldeal COMMAND [flags]
+
+Commands:
+  serve     serve front ends until SIGTERM; SIGUSR1 prints the counters
+  check     read the configuration, say what is wrong with it, and exit
+  version   print the version
+
+Flags of serve and check:
+`
+
+func main() {
+	if err := command(os.Args[1:], os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "falldeal:", err)
+		os.Exit(1)
+	}
+}
+
+func command(args []string, out io.Writer) error {
+	flags := pflag.NewFlagSet("falldeal", pflag.ContinueOnError)
+	path := flags.String("config", "", "configuration file (default: the variable GW_CONFIG)")
+	level := flags.String("log-level", "info", "least level that is logged: debug, info, warning, error")
+	flags.Usage = func() { fmt.Fprint(out, usage, flags.FlagUsages()) }
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, pflag.ErrHelp) {
+			return nil
+		}
+		return err
+	}
+	if flags.NArg() != 1 {
+		flags.Usage()
+		return fmt.Errorf("want one command, got %d", flags.NArg())
+	}
+	switch name := flags.Arg(0); name {
+	case "version":
+		fmt.Fprintln(out, "falldeal", version, runtime.Version())
+		return nil
+	case "check":
+		c, err := config.Load(*path)
+		if err == nil {
+			fmt.Fprintf(out, "configuration of %s is good: %d classes, listening on %s\n", c.Name, len(c.Classes), c.Listen)
+		}
+		return err
+	case "serve":
+		lvl, err := logrus.ParseLevel(*level)
+		if err != nil {
+			return fmt.Errorf("flag --log-level: %w", err)
+		}
+		c, err := config.Load(*path)
+		if err != nil {
+			return err
+		}
+		log := logrus.New()
+		log.SetLevel(lvl)
+		return serve(c, log)
+	default:
+		flags.Usage()
+		return fmt.Errorf("unknown command %q", name)
+	}
+}
+
+// serve runs the server until a drain is over. Whatever then still hangs on a socket does not keep
+// the process past its time.
+func serve(c *config.Config, log *logrus.Logger) error {
+	runtime.GOMAXPROCS(max(int(math.Ceil(c.Limits.Cores)), 1))
+	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB<<20)))
+	front, err := msgpackrpc.Listen(c.Listen, logging.NewLimiter(log))
+	if err != nil {
+		return err
+	}
+	s := server.New(c, log)
+	over := make(chan error, 1)
+	go func() { over <- s.Run(context.Background(), front) }()
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	var late <-chan time.Time
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGUSR1 {
+				s.PrintStats()
+				continue
+			}
+			if late == nil {
+				late = time.After(max(c.Stop-exitSpare, 0))
+			}
+			s.Drain()
+		case err := <-over:
+			return err
+		case <-late:
+			log.Warn("connections still open at the end")
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/link.go
@@ -0,0 +1,250 @@
+// Package agent holds the link to the render farm agent: its lines, reconnecting, and what makes
+// sure that neither a command nor a notice is lost when a link breaks.
+package agent
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"falldeal/internal/logging"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	maxLine      = 32 << 10 // a result of 4 KiB in base64, many times over
+	outRoom      = 4096     // commands that wait to be written
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 20 * time.Second
+	backoffLeast = 10 * time.Millisecond
+	backoffMost  = 500 * time.Millisecond
+)
+
+// command is kept until the agent is known to have read it.
+type command struct {
+	seq  int64
+	req  string // whose notices prove that it was read
+	line []byte
+}
+
+// Link is the link to the agent. Its methods are called from the loop that post hands functions to.
+type Link struct {
+	addr   string
+	post   func(func()) // hands a function to the loop
+	notice func(Notice)
+	log    *logging.Limiter
+
+	cur    *wire
+	synced bool      // commands may be written
+	last   int64     // offset of the last notice read
+	seq    int64     // counts commands and samples; a sample's number is its token
+	unread []command // in order of sending
+}
+
+// wire is one connection.
+type wire struct {
+	net net.Conn
+	out chan []byte
+}
+
+// New returns a Link that hands each new notice to the function notice, within the loop.
+func New(addr string, post func(func()), notice func(Notice), log *logging.Limiter) *Link {
+	return &Link{addr: addr, post: post, notice: notice, log: log}
+}
+
+// Run keeps the link open until ctx ends.
+func (l *Link) Run(ctx context.Context) error {
+	wait := backoffLeast
+	for ctx.Err() == nil {
+		began := time.Now()
+		if err := l.serve(ctx); err != nil && ctx.Err() == nil {
+			l.log.Warn("agent", "link to the agent broke; opening it again", err)
+		}
+		if time.Since(began) > backoffMost {
+			wait = backoffLeast
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, backoffMost)
+	}
+	return nil
+}
+
+// serve runs one link from its dial to its end.
+func (l *Link) serve(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	w := &wire{net: nc, out: make(chan []byte, outRoom)}
+	g, gctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(gctx, func() { nc.Close() })
+	defer stop()
+	g.Go(func() error { return w.write(gctx) })
+	l.post(func() { l.opened(w) })
+	g.Go(func() error { return l.read(w) })
+	err = g.Wait()
+	nc.Close()
+	l.post(func() { l.closed(w) })
+	return err
+}
+
+func (l *Link) read(w *wire) error {
+	in := bufio.NewReaderSize(w.net, maxLine)
+	var p parser
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return err // a line longer than the buffer ends the link too
+		}
+		n, err := p.parse(line)
+		if err != nil {
+			return err
+		}
+		l.post(func() { l.handle(w, n) })
+	}
+}
+
+func (w *wire) write(ctx context.Context) error {
+	out := bufio.NewWriterSize(w.net, 16<<10)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case b := <-w.out:
+			if err := w.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+				return err
+			}
+			if _, err := out.Write(b); err != nil {
+				return err
+			}
+			if len(w.out) > 0 {
+				continue
+			}
+			if err := out.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (w *wire) send(b []byte) {
+	select {
+	case w.out <- b:
+	default:
+		w.net.Close() // the agent does not read: a new link sends again what it missed
+	}
+}
+
+func (l *Link) opened(w *wire) {
+	l.cur, l.synced = w, false
+	w.send(subscribe(l.last))
+}
+
+func (l *Link) closed(w *wire) {
+	if l.cur == w {
+		l.cur, l.synced = nil, false
+	}
+}
+
+// handle takes a notice in the loop: what was seen on an earlier link is dropped.
+func (l *Link) handle(w *wire, n Notice) {
+	if w != l.cur {
+		return
+	}
+	if n.Offset > 0 && (n.Kind == Outcome || n.Kind == Request || n.Kind == Aside) {
+		if n.Offset <= l.last {
+			return
+		}
+		l.last = n.Offset
+	}
+	switch n.Kind {
+	case Greeting:
+		// All notices that were missed come before the answer to this sample. Only then is it
+		// known which of the unread commands still make sense.
+		l.sample()
+	case Sampled:
+		l.sampled(n.Token)
+	case Outcome, Request:
+		l.Forget(n.Req)
+	}
+	l.notice(n)
+}
+
+// sampled drops what was sent before the sample: commands are read in order. The first answer on a
+// link also opens it for commands, beginning with those that the last link may have lost.
+func (l *Link) sampled(token string) {
+	seq, err := strconv.ParseInt(token, 10, 64)
+	if err != nil {
+		return
+	}
+	if l.synced {
+		l.drop(func(c command) bool { return c.seq < seq })
+		return
+	}
+	l.synced = true
+	for _, c := range l.unread {
+		l.cur.send(c.line)
+	}
+}
+
+func (l *Link) drop(gone func(command) bool) { l.unread = slices.DeleteFunc(l.unread, gone) }
+
+// Forget drops the commands about a request, which need not be sent again: a notice about it proves
+// that they were read, or nobody wants them any more.
+func (l *Link) Forget(req string) { l.drop(func(c command) bool { return c.req == req }) }
+
+func (l *Link) send(req string, line []byte) {
+	l.seq++
+	l.unread = append(l.unread, command{l.seq, req, line})
+	if l.synced {
+		l.cur.send(line)
+	}
+}
+
+// Launch runs a request.
+func (l *Link) Launch(req, class string, payload []byte) {
+	l.send(req, launch(req, class, payload))
+}
+
+// Deliver hands a run the reply to the call that it waits for.
+func (l *Link) Deliver(req string, payload []byte) {
+	l.send(req, deliver(req, payload))
+}
+
+// Forgo lets a run go on without the call that the notice at offset asked for.
+func (l *Link) Forgo(req string, offset int64) {
+	l.send(req, forgo(req, offset))
+}
+
+// Sample asks for the gauges.
+func (l *Link) Sample() {
+	if l.synced {
+		l.sample()
+	}
+}
+
+func (l *Link) sample() {
+	l.seq++
+	l.cur.send(tokened("sample", strconv.FormatInt(l.seq, 10)))
+}
+
+// ErrDown says that there is no link.
+var ErrDown = errors.New("no link to the agent")
+
+// Exercise asks for the work of a deep health check; its end names the token.
+func (l *Link) Exercise(token string) error {
+	if !l.synced {
+		return ErrDown
+	}
+	l.cur.send(tokened("exercise", token))
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,241 @@
+// Package config is the one place where configuration is read, checked and given its defaults.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"falldeal/decide"
+
+	"github.com/valyala/fastjson"
+)
+
+// What the environment may set.
+const (
+	envPath   = "GW_CONFIG"
+	envName   = "GW_NAME"
+	envListen = "GW_LISTEN"
+)
+
+// Defaults of keys that may be absent, and the least values that a server can work with.
+const (
+	defaultStop     = 3200 * time.Millisecond
+	defaultCores    = 1.0
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastMemoryMB   = 32
+	leastSockets    = 64
+)
+
+// Limits bound this process.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int // file descriptors
+}
+
+// Config is what an image server is told at its start.
+type Config struct {
+	Name     string // under which the announce service lists it
+	Listen   string
+	Agent    string
+	Store    string
+	Announce string
+	Seed     uint64
+	Stop     time.Duration // from SIGTERM to the end of the process
+	Limits   Limits
+	Settings decide.Settings
+	Classes  []string // names, in the order of Settings.Classes
+	Gauges   []string // names, in the order in which the agent reports them
+}
+
+// Load reads the file at path, or at GW_CONFIG where path is empty. GW_NAME and GW_LISTEN, where
+// set, override the file's keys.
+func Load(path string) (*Config, error) {
+	if path == "" {
+		if path = os.Getenv(envPath); path == "" {
+			return nil, errors.New(envPath + ": not set, and no --config given")
+		}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := Parse(text, os.Getenv)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration; an error names the key at fault. env is where variables are read.
+func Parse(text []byte, env func(string) string) (*Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, err
+	}
+	if v.Type() != fastjson.TypeObject {
+		return nil, fmt.Errorf("want an object, got %v", v.Type())
+	}
+	o := object{value: v, err: &err}
+	limits, set := o.object("limits"), o.object("settings")
+	c := &Config{
+		Name: o.text("name"), Listen: o.text("listen"), Agent: o.text("agent"), Store: o.text("store"),
+		Announce: o.text("announce"),
+		Stop:     time.Duration(o.whole("stop_ms")) * time.Millisecond,
+		Limits: Limits{Cores: limits.number("cores"), MemoryMB: int(limits.whole("memory_mb")),
+			Sockets: int(limits.whole("sockets"))},
+		Settings: settings(set),
+		Gauges:   set.object("FamilyInfo").texts("Gauges"),
+	}
+	for _, l := range set.objects("Lanes") {
+		c.Classes = append(c.Classes, l.text("Name"))
+	}
+	if name := env(envName); name != "" {
+		c.Name = name
+	}
+	if listen := env(envListen); listen != "" {
+		c.Listen = listen
+	}
+	c.defaults(o)
+	c.check(o)
+	c.checkSettings(set)
+	if seed := o.text("seed"); seed != "" {
+		if c.Seed, err = seedOf(seed, err); err != nil {
+			return nil, err
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func seedOf(text string, earlier error) (uint64, error) {
+	if earlier != nil {
+		return 0, earlier
+	}
+	seed, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("seed: want up to 16 hex digits, got %q", text)
+	}
+	return seed, nil
+}
+
+// defaults fills in keys that are absent; one that is there must make sense.
+func (c *Config) defaults(o object) {
+	limits := o.object("limits")
+	if !o.value.Exists("stop_ms") {
+		c.Stop = defaultStop
+	}
+	if !o.value.Exists("limits", "cores") {
+		c.Limits.Cores = defaultCores
+	}
+	if !o.value.Exists("limits", "memory_mb") {
+		c.Limits.MemoryMB = defaultMemoryMB
+	}
+	if !o.value.Exists("limits", "sockets") {
+		c.Limits.Sockets = defaultSockets
+	}
+	switch {
+	case c.Stop <= 0 || c.Stop > time.Hour:
+		o.fail("stop_ms", "%v is not between 1 ms and an hour", c.Stop)
+	case !(c.Limits.Cores > 0):
+		limits.fail("cores", "%v, want more than 0", c.Limits.Cores)
+	case c.Limits.MemoryMB < leastMemoryMB:
+		limits.fail("memory_mb", "%d, want at least %d", c.Limits.MemoryMB, leastMemoryMB)
+	case c.Limits.Sockets < leastSockets:
+		limits.fail("sockets", "%d, want at least %d", c.Limits.Sockets, leastSockets)
+	}
+}
+
+func (c *Config) check(o object) {
+	if c.Name == "" {
+		o.fail("name", "missing")
+	}
+	for _, a := range []struct{ key, addr string }{
+		{"listen", c.Listen}, {"agent", c.Agent}, {"store", c.Store}, {"announce", c.Announce}} {
+		if a.addr == "" {
+			o.fail(a.key, "missing")
+		} else if err := checkAddr(a.addr); err != nil {
+			o.fail(a.key, "%v", err)
+		}
+	}
+	if !o.value.Exists("settings") {
+		o.fail("settings", "missing")
+	}
+}
+
+// checkAddr accepts a numeric address with a port: there is no name service to ask.
+func checkAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%q is not an IP address", host)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 && host != "127.0.0.1" {
+		return fmt.Errorf("%q is not a port", port)
+	}
+	return nil
+}
+
+// checkSettings finds what no image server can be run with; the controller trusts the rest.
+func (c *Config) checkSettings(set object) {
+	s, f, inv := &c.Settings, set.object("FamilyInfo"), set.object("Invariants")
+	switch {
+	case s.Cores < 1:
+		f.fail("Cpus", "%d, want at least 1", s.Cores)
+	case !(s.MemoryKB > 0):
+		f.fail("MemoryKb", "%v, want more than 0", s.MemoryKB)
+	case s.RunBlow < 0:
+		f.fail("Blowup", "negative")
+	case s.KeyKB < 0:
+		f.fail("KbPerKey", "negative")
+	case s.CallsOut < 0:
+		f.fail("CallsOut", "negative")
+	case s.Halt != decide.HaltOff:
+		f.fail("Halt", "the agent has no command that stops a run; only \"off\" can be served")
+	case s.Advert != decide.AdvertOff:
+		f.fail("Advert", "answers carry no such value; only \"off\" can be served")
+	case len(s.Classes) == 0:
+		set.fail("Lanes", "no classes")
+	}
+	for _, t := range []struct {
+		o    object
+		key  string
+		time time.Duration
+	}{{f, "CallsOverUs", s.CallsOver}, {f, "StaysForUs", s.CallLingers}, {f, "FreshForUs", s.FreshFor},
+		{f, "IdleUs", s.IdleAfter}, {inv, "ColdUs", s.ColdFor}, {inv, "FallUs", s.CrowdOver},
+		{inv, "GraceToAnswerUs", s.AnswerGrace}, {inv, "StopSendingWithinUs", s.DrainGrace},
+		{set.object("Limits"), "MaxRetryAfterUs", s.MaxRetryAfter}, {set, "TickUs", s.Tick}} {
+		if t.time < 0 {
+			t.o.fail(t.key, "negative time %v", t.time)
+		}
+	}
+	seen := map[string]bool{}
+	for i, l := range set.objects("Lanes") {
+		if i >= len(s.Classes) {
+			return // an earlier key of the list was at fault
+		}
+		k := s.Classes[i]
+		switch {
+		case c.Classes[i] == "":
+			l.fail("Name", "missing")
+		case seen[c.Classes[i]]:
+			l.fail("Name", "%q is used twice", c.Classes[i])
+		case k.Aim <= 0:
+			l.fail("AimUs", "want more than 0")
+		case k.Deadline <= 0:
+			l.fail("DeadlineUs", "want more than 0")
+		case k.KeyWindow < 0:
+			l.fail("KeyTtlUs", "negative time %v", k.KeyWindow)
+		}
+		seen[c.Classes[i]] = true
+	}
+}
--- /dev/null
+++ b/internal/msgpackrpc/front.go
@@ -0,0 +1,76 @@
+package msgpackrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"falldeal/internal/logging"
+	"falldeal/internal/server"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const acceptPause = 50 * time.Millisecond // after a failed accept
+
+// Front is a listener for front ends; it implements server.Front.
+type Front struct {
+	ln  net.Listener
+	log *logging.Limiter
+}
+
+// Listen opens a Front on addr.
+func Listen(addr string, log *logging.Limiter) (*Front, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return &Front{ln: ln, log: log}, nil
+}
+
+// Addr is where the Front listens.
+func (f *Front) Addr() net.Addr { return f.ln.Addr() }
+
+// Close closes the listener.
+func (f *Front) Close() error { return f.ln.Close() }
+
+// Serve implements server.Front.
+func (f *Front) Serve(ctx context.Context, g *errgroup.Group, s *server.Server) error {
+	defer context.AfterFunc(ctx, func() { f.ln.Close() })()
+	for {
+		nc, err := f.ln.Accept()
+		if err == nil {
+			f.start(ctx, g, newConn(nc), s)
+			continue
+		}
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		// Out of descriptors, or the peer has gone: neither ends the service.
+		f.log.Warn("accept", "front end not accepted", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(acceptPause):
+		}
+	}
+}
+
+func (f *Front) start(ctx context.Context, g *errgroup.Group, c *conn, s *server.Server) {
+	g.Go(func() error {
+		defer context.AfterFunc(ctx, c.Close)()
+		c.write()
+		return nil
+	})
+	g.Go(func() error {
+		s.Opened(c)
+		if err := c.read(s); err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+			f.log.Warn("front end", "connection of a front end ended", err)
+		}
+		c.Close()
+		s.Closed(c)
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/server/admit.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+
+	"falldeal/decide"
+)
+
+// Stage two, admit: a request that makes sense is put before the controller.
+
+var errNoOnce = errors.New("field once: missing in a class whose requests must run once")
+
+func (s *Server) admit(p Peer, call uint32, t Try) {
+	class, known := s.classes[t.Class]
+	if !known {
+		s.invalid(p, call, fmt.Errorf("method: unknown class %.40q", t.Class))
+		return
+	}
+	keyed := s.cfg.Settings.Classes[class].Safety == decide.Keyed
+	if keyed && t.Once == "" {
+		s.invalid(p, call, errNoOnce)
+		return
+	}
+	if s.ctl == nil {
+		// The agent is not up, so nothing can be run. No request is sent here before it is.
+		s.stats.Refused++
+		p.Answer(call, Answer{Kind: Refused})
+		return
+	}
+	s.lastID++
+	r := &request{id: s.lastID, try: t, class: class, peer: p, call: call}
+	r.window = s.cfg.Settings.Classes[class].KeyWindow
+	s.requests[r.id], s.byWire[t.ID], s.peers[p].open[call] = r, r, r
+	at := s.clock.own(t.At)
+	e := decide.Event{Kind: decide.Request, ID: r.id, Class: class, Caller: t.Caller, MemoryKB: t.KB,
+		Hint: t.Cost, HasKey: t.Key != "", Rank: t.Rank, Due: at + t.Wait, Waited: max(s.clock.now-at, 0)}
+	if keyed {
+		if e.Earlier = s.keys.take(r); e.Earlier != 0 {
+			s.stats.Repeats++
+		}
+	}
+	s.happened(e)
+}
+
+// gone notes that nobody waits for r. A run goes on; what had not begun exists no more.
+func (s *Server) gone(r *request) {
+	if r.answered {
+		return
+	}
+	s.settle(r)
+	s.store.Drop(r.try.ID)
+	s.happened(decide.Event{Kind: decide.Gone, ID: r.id})
+	if !r.running {
+		s.forget(r)
+	}
+}
--- /dev/null
+++ b/internal/server/book.go
@@ -0,0 +1,124 @@
+package server
+
+import (
+	"falldeal/decide"
+	"falldeal/internal/agent"
+)
+
+// Stage six, book: answers go out, once each, and what has ended is struck off.
+
+// answer gives r its one answer.
+func (s *Server) answer(r *request, a Answer) {
+	if r.answered {
+		return
+	}
+	st := s.peers[r.peer]
+	s.settle(r)
+	if st == nil {
+		return
+	}
+	st.used = s.clock.now
+	switch a.Kind {
+	case Served:
+		s.stats.Served++
+	case Refused:
+		s.stats.Refused++
+	default:
+		s.stats.Failed++
+	}
+	r.peer.Answer(r.call, a)
+}
+
+// settle notes that no answer is owed to r any more.
+func (s *Server) settle(r *request) {
+	r.answered = true
+	if st := s.peers[r.peer]; st != nil {
+		delete(st.open, r.call)
+	}
+}
+
+func (s *Server) refuse(r *request, a decide.Action) {
+	s.answer(r, Answer{Kind: Refused, After: a.StayAway, Last: a.DontRetry})
+	if !r.running {
+		s.forget(r)
+	}
+}
+
+// fail answers r with an error. Its run, if there is one, goes on to its end or next call.
+func (s *Server) fail(r *request) {
+	s.answer(r, Answer{Kind: Failed})
+	s.store.Drop(r.try.ID)
+	if !r.running {
+		s.forget(r)
+	}
+}
+
+// runEnded books what the agent tells of the end of a run.
+func (s *Server) runEnded(n agent.Notice) {
+	r := s.byWire[n.Req]
+	if r == nil || !r.running {
+		return
+	}
+	switch n.Result {
+	case agent.Success:
+		s.finish(r, decide.OK, n.Payload)
+	case agent.Failure:
+		s.stats.RunsFailed++
+		s.finish(r, decide.Failed, nil)
+	case agent.Interrupted:
+		s.stats.RunsInterrupted++
+		s.finish(r, decide.Cancelled, nil)
+	default:
+		s.stats.RunsMoot++
+		s.finish(r, decide.Moot, nil)
+	}
+}
+
+// finish ends the run of r, answers it where that is still owed, and those that repeat it.
+func (s *Server) finish(r *request, o decide.Outcome, result []byte) {
+	s.store.Drop(r.try.ID)
+	s.agent.Forget(r.try.ID)
+	s.happened(decide.Event{Kind: decide.Done, ID: r.id, Outcome: o, Took: s.clock.now - r.began})
+	if o == decide.OK {
+		s.answer(r, Answer{Kind: Served, Body: result})
+	} else {
+		s.answer(r, Answer{Kind: Failed})
+	}
+	for _, f := range s.keys.ended(r, o, result) {
+		s.reused(f, o == decide.OK, result)
+	}
+	s.forget(r)
+}
+
+// reuse answers r with the result of the try that it repeats, now or when that has ended.
+func (s *Server) reuse(r *request) {
+	r.began = s.clock.now
+	if result, ok, over := s.keys.join(r); over {
+		s.reused(r, ok, result)
+	}
+}
+
+func (s *Server) reused(r *request, ok bool, result []byte) {
+	if s.requests[r.id] != r {
+		return // it has ended while it waited
+	}
+	o := decide.Failed
+	if ok {
+		o = decide.OK
+		s.stats.Reused++
+		s.answer(r, Answer{Kind: Served, Body: result})
+	} else {
+		s.answer(r, Answer{Kind: Failed})
+	}
+	s.happened(decide.Event{Kind: decide.Done, ID: r.id, Outcome: o, Took: s.clock.now - r.began})
+	s.forget(r)
+}
+
+// forget strikes off a request of which nothing more is to come.
+func (s *Server) forget(r *request) {
+	delete(s.requests, r.id)
+	delete(s.byWire, r.try.ID)
+	if e := s.keys.left(r); e != nil {
+		s.deadlines.Add(s.clock.own(e.closes)+keyLinger, func() { s.keys.drop(e) })
+	}
+}
--- /dev/null
+++ b/internal/server/front.go
@@ -0,0 +1,66 @@
+// Package server is the image server round the decision module: one loop that owns the controller
+// and the state of every request. A request passes the stages take in, admit, route, send, relay and
+// book, each in a file of its own; keys and drain stand beside them.
+package server
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Try is one try of a request as a front protocol has read it. Texts that go on to others (ID) hold
+// hex digits only.
+type Try struct {
+	ID     string
+	Once   string // the same for all tries of one request; "" where there is no such thing
+	Key    string // what a read is about
+	Class  string
+	At     time.Duration // when it came to the machine, on the Unix clock
+	Wait   time.Duration // how long its caller waits from then on
+	Caller int
+	Cost   time.Duration
+	KB     float64
+	Rank   float64
+	Body   []byte
+}
+
+// AnswerKind tells answers apart.
+type AnswerKind uint8
+
+// The kinds of Answer.
+const (
+	Served    AnswerKind = iota // with Body
+	Refused                     // it never ran
+	Failed                      // it may have run
+	Invalid                     // the request was wrong, as Reason says; it never ran
+	Healthy                     // to a health check
+	Unhealthy                   // to a health check
+)
+
+// Answer is the one answer to a call.
+type Answer struct {
+	Kind   AnswerKind
+	Body   []byte
+	After  time.Duration // Refused: how long to stay away; 0 = no advice
+	Last   bool          // Refused: no other server should be tried
+	Reason string        // Invalid
+}
+
+// Peer is a connection of a front end, in whatever protocol it speaks. The loop calls its methods,
+// none of which may block; the server knows a Peer from Opened to Closed.
+type Peer interface {
+	Answer(call uint32, a Answer)
+	Closing()      // no new request should come on this connection
+	Close()        // after what was handed over is written
+	MostOpen() int // calls that may be open at once
+}
+
+// Front accepts front ends of one protocol and hands what they send to a Server.
+type Front interface {
+	// Serve returns once the listener is closed or ctx ends; connections run in g.
+	Serve(ctx context.Context, g *errgroup.Group, s *Server) error
+	// Close closes the listener; connections stay.
+	Close() error
+}
--- /dev/null
+++ b/internal/server/keys.go
@@ -0,0 +1,138 @@
+package server
+
+import (
+	"time"
+
+	"falldeal/decide"
+)
+
+// Keys: which tries are of one request. A request with an effect runs once within its window, however
+// often it comes; its result answers the others.
+
+const (
+	keySlack  = 50 * time.Millisecond // a try was written a little after its own time
+	keyLinger = 30 * time.Second      // tries of the window may be read late; longer than any caller waits
+	keyBytes  = 16 << 20              // results kept for reuse, over all keys
+)
+
+// keyEntry is what is known of one request with an effect.
+type keyEntry struct {
+	once   string
+	holder *request // the try that has the entry
+	ran    bool     // the holder was run
+	over   bool     // that run has ended
+	ok     bool     // and its result is kept
+	result []byte
+	waits  []*request    // for that end
+	closes time.Duration // end of the window, on the Unix clock
+}
+
+type keyTable struct {
+	entries map[string]*keyEntry
+	of      map[*request]*keyEntry // of live requests
+	bytes   int
+}
+
+func newKeyTable() keyTable {
+	return keyTable{entries: map[string]*keyEntry{}, of: map[*request]*keyEntry{}}
+}
+
+func (t *keyTable) size() int { return len(t.entries) }
+
+// take enters r, and returns the try that it repeats, or 0 for a first try. Tries that were taken in
+// together know each other too.
+func (t *keyTable) take(r *request) decide.RequestID {
+	if e := t.entries[r.try.Once]; e != nil {
+		if !e.ran || r.try.At <= e.closes+keySlack {
+			t.of[r] = e
+			return e.holder.id
+		}
+		t.drop(e)
+	}
+	t.hold(&keyEntry{once: r.try.Once}, r)
+	return 0
+}
+
+// hold gives r the entry.
+func (t *keyTable) hold(e *keyEntry, r *request) {
+	e.holder, e.closes = r, r.try.At+r.window
+	t.entries[e.once], t.of[r] = e, e
+}
+
+// keep gives r the entry for as long as it is held, unless a run has it already.
+func (t *keyTable) keep(r *request) {
+	if e := t.of[r]; e != nil && !e.ran {
+		t.hold(e, r)
+	}
+}
+
+// mayRun reports whether a run of r would be the first within the window.
+func (t *keyTable) mayRun(r *request) bool {
+	e := t.of[r]
+	return e == nil || !e.ran
+}
+
+// ran notes that r is run: from now on the entry is that of r.
+func (t *keyTable) ran(r *request) {
+	if e := t.of[r]; e != nil {
+		t.hold(e, r)
+		e.ran = true
+	}
+}
+
+// join has r wait for the run that it repeats. Where that is over, or never was, it says so.
+func (t *keyTable) join(r *request) (result []byte, ok, over bool) {
+	e := t.of[r]
+	if e == nil || !e.ran || e.over {
+		if e != nil && e.ok {
+			return e.result, true, true
+		}
+		return nil, false, true
+	}
+	e.waits = append(e.waits, r)
+	return nil, false, false
+}
+
+// ended notes how the run of r ended, and returns the tries that waited for it.
+func (t *keyTable) ended(r *request, o decide.Outcome, result []byte) []*request {
+	e := t.of[r]
+	if e == nil || e.holder != r || !e.ran {
+		return nil
+	}
+	waits := e.waits
+	e.waits = nil
+	if o == decide.Moot {
+		e.ran = false // nothing was run
+		return waits
+	}
+	e.over = true
+	if e.ok = o == decide.OK && t.bytes+len(result) <= keyBytes; e.ok {
+		e.result = result
+		t.bytes += len(result)
+	}
+	return waits
+}
+
+// left notes that nothing more is to come about r. It returns an entry that has to stay until its
+// window is over; one that no run has goes with its holder.
+func (t *keyTable) left(r *request) *keyEntry {
+	e := t.of[r]
+	delete(t.of, r)
+	if e == nil || e.holder != r {
+		return nil
+	}
+	if !e.ran {
+		t.drop(e)
+		return nil
+	}
+	return e
+}
+
+// drop forgets an entry and its result.
+func (t *keyTable) drop(e *keyEntry) {
+	if t.entries[e.once] == e {
+		delete(t.entries, e.once)
+	}
+	t.bytes -= len(e.result)
+	e.ok, e.result = false, nil
+}
--- /dev/null
+++ b/internal/server/send.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"falldeal/decide"
+	"falldeal/internal/agent"
+)
+
+// Stage four, send: runs go to the agent, and its notices come back.
+
+// run has the agent run r. A keyed request whose run is on record is never run again, whatever the
+// controller believes.
+func (s *Server) run(r *request) {
+	if !s.keys.mayRun(r) {
+		s.log.WithField("request", r.try.ID).Error("second run of a keyed request prevented")
+		s.happened(decide.Event{Kind: decide.Done, ID: r.id, Outcome: decide.Moot})
+		s.answer(r, Answer{Kind: Failed})
+		s.forget(r)
+		return
+	}
+	s.stats.Runs++
+	r.running, r.began = true, s.clock.now
+	s.keys.ran(r)
+	s.agent.Launch(r.try.ID, r.try.Class, r.try.Body)
+}
+
+// skip lets a run go on without the call that it waits for.
+func (s *Server) skip(r *request) {
+	s.stats.Skips++
+	s.agent.Forgo(r.try.ID, r.offset)
+}
+
+// agentNotice takes in what the agent tells.
+func (s *Server) agentNotice(n agent.Notice) {
+	switch n.Kind {
+	case agent.Greeting:
+		s.greeted(n)
+	case agent.Sampled:
+		s.sampled(n.Load)
+	case agent.Exercised:
+		s.exercised(n.Token, n.Result == agent.Success)
+	case agent.Request:
+		s.wantsCall(n)
+	case agent.Outcome:
+		s.runEnded(n)
+	case agent.Refusal:
+		s.commandRefused(n)
+	}
+}
+
+// greeted starts the controller: the agent is up, and its age tells whether it is warm. A greeting on
+// a later link changes nothing, since agent and image server live and die together.
+func (s *Server) greeted(n agent.Notice) {
+	if s.ctl != nil {
+		return
+	}
+	set := s.cfg.Settings
+	set.Cold = n.Result == agent.Booting
+	ctl, err := decide.New(set, s.cfg.Seed, s.clock.now-n.Elapsed)
+	if err != nil {
+		// The configuration was checked, so the check lacks something. Without decisions nothing is served.
+		s.log.WithError(err).Error("no controller for these settings")
+		return
+	}
+	s.log.WithFields(map[string]any{"state": n.Result, "age": n.Elapsed.String()}).Info("agent is up")
+	s.ctl = ctl
+	s.gauges = unknownGauges
+	s.happened(decide.Event{Kind: decide.Timer, Gauges: unknownGauges}) // the first step
+	if s.drain.on {
+		s.happened(decide.Event{Kind: decide.Notice, At: s.drain.stopAt})
+	}
+}
+
+// commandRefused ends a run that the agent would not begin. Other refusals are about runs that have
+// ended, whose outcome is on its way.
+func (s *Server) commandRefused(n agent.Notice) {
+	s.stats.CommandsRefused++
+	s.warn.Warn("agent "+n.Result, "agent did not carry out a command for "+n.Req, nil)
+	if r := s.byWire[n.Req]; r != nil && r.running && n.Result == "launch" {
+		s.finish(r, decide.Moot, nil)
+	}
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,183 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"falldeal/decide"
+	"falldeal/internal/agent"
+	"falldeal/internal/announce"
+	"falldeal/internal/config"
+	"falldeal/internal/deadline"
+	"falldeal/internal/logging"
+	"falldeal/internal/stats"
+	"falldeal/internal/store"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	inRoom    = 1024 // messages that wait for the loop
+	peerShare = 2    // front ends may take one descriptor in this many
+)
+
+// request is one try from its intake until nothing more is to come about it.
+type request struct {
+	id     decide.RequestID
+	try    Try
+	class  int
+	peer   Peer
+	call   uint32        // its number on that connection
+	window time.Duration // in which it may come again and must not run twice
+
+	answered bool // or nobody waits for an answer any more
+	running  bool // the agent was told to run it
+	began    time.Duration
+
+	waits  []byte // body of the call that its run waits for
+	offset int64  // of the notice that asked for that call
+	asked  time.Duration
+}
+
+// Server is one image server. All of its state belongs to the loop; other goroutines hand functions
+// to it over a bounded channel.
+type Server struct {
+	cfg   *config.Config
+	log   logrus.FieldLogger
+	warn  *logging.Limiter
+	in    chan func()
+	ended chan struct{} // closed when the loop is over
+
+	clock     clock
+	deadlines *deadline.Queue
+	agent     *agent.Link
+	store     *store.Link
+	announcer *announce.Announcer
+	stats     stats.Counters
+
+	ctl     *decide.Controller // nil until the agent is up
+	events  []decide.Event     // for the next step
+	actions []decide.Action
+
+	classes  map[string]int
+	requests map[decide.RequestID]*request
+	byWire   map[string]*request
+	lastID   decide.RequestID
+	keys     keyTable
+	peers    map[Peer]*peerState
+	idle     time.Duration // connections idle for longer are closed; 0 = none
+
+	good, stored bool // health, as the controller wants it answered
+	exercises    map[string]probe
+	lastToken    uint64
+	gauges       decide.Gauges
+	gaugesAt     time.Duration
+
+	fronts []Front
+	drain  drainState
+}
+
+// New returns a Server; nothing happens before Run.
+func New(cfg *config.Config, log logrus.FieldLogger) *Server {
+	s := &Server{cfg: cfg, log: log, warn: logging.NewLimiter(log), in: make(chan func(), inRoom),
+		ended: make(chan struct{}), clock: clock{read: time.Now}, deadlines: deadline.New(),
+		classes: map[string]int{}, requests: map[decide.RequestID]*request{}, byWire: map[string]*request{},
+		keys: newKeyTable(), peers: map[Peer]*peerState{}, exercises: map[string]probe{}, idle: cfg.Settings.IdleAfter,
+		gauges: unknownGauges}
+	for i, name := range cfg.Classes {
+		s.classes[name] = i
+	}
+	s.clock.advance()
+	s.agent = agent.New(cfg.Agent, s.post, s.agentNotice, s.warn)
+	s.store = store.New(cfg.Store, store.Loop{Post: s.post, Now: func() time.Duration { return s.clock.now },
+		Deadlines: s.deadlines}, s.callEnded, s.warn)
+	s.announcer = announce.New(cfg.Announce, cfg.Name, s.warn)
+	return s
+}
+
+// Run serves front ends until a drain is over or ctx ends.
+func (s *Server) Run(ctx context.Context, fronts ...Front) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	s.fronts = fronts
+	for _, f := range fronts {
+		g.Go(func() error { return f.Serve(ctx, g, s) })
+	}
+	g.Go(func() error { return s.agent.Run(ctx) })
+	g.Go(func() error { return s.store.Run(ctx) })
+	g.Go(func() error { return s.announcer.Run(ctx) })
+	g.Go(func() error {
+		defer cancel()
+		s.loop(ctx)
+		return nil
+	})
+	return g.Wait()
+}
+
+// post hands f to the loop. It blocks while the loop is behind, and gives up once that is over.
+func (s *Server) post(f func()) {
+	select {
+	case s.in <- f:
+	case <-s.ended:
+	}
+}
+
+// loop takes turns: drain the input, sweep the deadlines, one step of the controller, its actions.
+func (s *Server) loop(ctx context.Context) {
+	defer close(s.ended)
+	defer s.leave()
+	s.closeIdle()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for !s.finished() {
+		if at, ok := s.deadlines.Next(); ok {
+			timer.Reset(max(at-s.clock.advance(), 0))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.in:
+			s.clock.advance()
+			f()
+		case <-timer.C:
+		}
+		s.clock.advance()
+		for n := len(s.in); n > 0; n-- {
+			(<-s.in)()
+		}
+		s.clock.advance()
+		s.deadlines.Sweep(s.clock.now)
+		s.stats.Turns++
+		s.step()
+	}
+}
+
+// step has the controller decide on what happened. Some actions end at once, in events of their own,
+// which get a step too.
+func (s *Server) step() {
+	for s.ctl != nil && len(s.events) > 0 {
+		events := s.events
+		s.events = nil
+		s.actions = s.ctl.Step(s.clock.now, events, s.actions[:0])
+		for _, a := range s.actions {
+			s.route(a)
+		}
+	}
+}
+
+func (s *Server) happened(e decide.Event) { s.events = append(s.events, e) }
+
+// PrintStats logs the counters.
+func (s *Server) PrintStats() { s.post(s.printStats) }
+
+func (s *Server) printStats() {
+	running := 0
+	for _, r := range s.requests {
+		if r.running {
+			running++
+		}
+	}
+	s.stats.Print(s.log, len(s.requests), running, s.keys.size(), len(s.peers))
+}
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,33 @@
+// Package stats counts what an image server takes in, sends and answers.
+package stats
+
+import "github.com/sirupsen/logrus"
+
+// Counters are counted by one goroutine.
+type Counters struct {
+	Connections, ConnectionsClosed uint64 // of front ends; those closed from this side
+
+	Requests, Repeats, Invalid, Cancelled, Probes uint64 // taken in
+	Runs, Calls, CallsDropped, Skips, Exercises   uint64 // sent
+	Served, Reused, Refused, Failed               uint64 // answered
+
+	RunsFailed, RunsInterrupted, RunsMoot, CommandsRefused                    uint64 // what the agent told
+	CallsOK, CallsBusy, CallsFailed, CallsLate, CallsUnreachable, CallsBroken uint64 // how calls ended
+
+	Turns uint64 // of the loop
+}
+
+// Print logs all counters and what is in hand.
+func (c *Counters) Print(log logrus.FieldLogger, open, running, keys, peers int) {
+	log.WithFields(logrus.Fields{
+		"connections": c.Connections, "connections_closed": c.ConnectionsClosed,
+		"requests": c.Requests, "repeats": c.Repeats, "invalid": c.Invalid, "cancelled": c.Cancelled, "probes": c.Probes,
+		"runs": c.Runs, "calls": c.Calls, "calls_dropped": c.CallsDropped, "skips": c.Skips, "exercises": c.Exercises,
+		"served": c.Served, "reused": c.Reused, "refused": c.Refused, "failed": c.Failed,
+		"runs_failed": c.RunsFailed, "runs_interrupted": c.RunsInterrupted, "runs_moot": c.RunsMoot,
+		"commands_refused": c.CommandsRefused,
+		"calls_ok":         c.CallsOK, "calls_busy": c.CallsBusy, "calls_failed": c.CallsFailed, "calls_late": c.CallsLate,
+		"calls_unreachable": c.CallsUnreachable, "calls_broken": c.CallsBroken,
+		"turns": c.Turns, "now_open": open, "now_running": running, "now_keys": keys, "now_connections": peers,
+	}).Info("counters")
+}
--- /dev/null
+++ b/internal/store/link.go
@@ -0,0 +1,238 @@
+// Package store makes calls to the store that all image servers share.
+package store
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"falldeal/internal/deadline"
+	"falldeal/internal/logging"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	outRoom      = 1024 // lines that wait to be written
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 20 * time.Second
+	idleClose    = 8 * time.Second // before the store closes: its close might cross a call
+	backoffLeast = 10 * time.Millisecond
+	backoffMost  = 200 * time.Millisecond
+)
+
+// Loop is what a Link needs of the loop that owns it.
+type Loop struct {
+	Post      func(func()) // hands a function to the loop, from any goroutine
+	Now       func() time.Duration
+	Deadlines *deadline.Queue
+}
+
+// Link makes calls over one connection, which it opens when there is a call and closes when there
+// was none for some time. Its methods are called from the loop only.
+type Link struct {
+	addr  string
+	loop  Loop
+	reply func(id string, r Reply, body []byte)
+	log   *logging.Limiter
+	dials chan time.Duration // asks Run to dial, after that time
+
+	cur     *wire // nil while there is no connection
+	dialing bool
+	backoff time.Duration
+	calls   map[string]*call
+	idle    *deadline.Entry
+}
+
+type call struct {
+	body  []byte
+	until time.Duration
+	on    *wire // that it was written to; nil while it waits for one
+	end   *deadline.Entry
+}
+
+type wire struct {
+	net net.Conn
+	out chan []byte
+}
+
+// New returns a Link that reports the end of each call with reply, within the loop.
+func New(addr string, loop Loop, reply func(id string, r Reply, body []byte), log *logging.Limiter) *Link {
+	return &Link{addr: addr, loop: loop, reply: reply, log: log, dials: make(chan time.Duration, 1),
+		calls: map[string]*call{}}
+}
+
+// Run opens connections as calls need them, until ctx ends.
+func (l *Link) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case wait := <-l.dials:
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-time.After(wait):
+				}
+				d := net.Dialer{Timeout: dialTimeout}
+				nc, err := d.DialContext(ctx, "tcp", l.addr)
+				if err != nil {
+					l.loop.Post(func() { l.refused(err) })
+					continue
+				}
+				w := &wire{net: nc, out: make(chan []byte, outRoom)}
+				l.loop.Post(func() { l.opened(w) })
+				g.Go(func() error { l.serve(ctx, w); return nil })
+			}
+		}
+	})
+	return g.Wait()
+}
+
+func (l *Link) serve(ctx context.Context, w *wire) {
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { w.net.Close() })
+	defer stop()
+	g.Go(func() error { return w.write(ctx) })
+	g.Go(func() error {
+		in := bufio.NewReaderSize(w.net, 8<<10)
+		for {
+			id, r, body, err := readReply(in)
+			if err != nil {
+				return err
+			}
+			l.loop.Post(func() { l.replied(w, id, r, body) })
+		}
+	})
+	err := g.Wait()
+	w.net.Close()
+	l.loop.Post(func() { l.closed(w, err) })
+}
+
+func (w *wire) write(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case b := <-w.out:
+			if err := w.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+				return err
+			}
+			if _, err := w.net.Write(b); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (w *wire) send(b []byte) {
+	select {
+	case w.out <- b:
+	default:
+		w.net.Close() // the store does not read
+	}
+}
+
+// Call makes a call for the run of request id and gives it up at until. A call that is under way
+// for the same request is given up.
+func (l *Link) Call(id string, until time.Duration, body []byte) {
+	l.Drop(id)
+	c := &call{body: body, until: until}
+	c.end = l.loop.Deadlines.Add(until, func() {
+		l.Drop(id)
+		l.reply(id, Expired, nil)
+	})
+	l.calls[id] = c
+	l.loop.Deadlines.Cancel(l.idle)
+	if l.cur != nil {
+		l.write(id, c)
+		return
+	}
+	l.dial()
+}
+
+func (l *Link) write(id string, c *call) {
+	c.on = l.cur
+	l.cur.send(appendCall(nil, id, c.until-l.loop.Now(), c.body))
+}
+
+func (l *Link) dial() {
+	if !l.dialing {
+		l.dialing = true
+		l.dials <- l.backoff // has room: one dial at a time
+	}
+}
+
+// Drop gives up the call for request id, if there is one; nothing is reported of it any more.
+func (l *Link) Drop(id string) {
+	c := l.calls[id]
+	if c == nil {
+		return
+	}
+	if c.on != nil && c.on == l.cur {
+		l.cur.send(appendDrop(nil, id))
+	}
+	l.end(id, c)
+}
+
+func (l *Link) end(id string, c *call) {
+	l.loop.Deadlines.Cancel(c.end)
+	delete(l.calls, id)
+	if len(l.calls) == 0 && l.cur != nil {
+		w := l.cur
+		l.loop.Deadlines.Cancel(l.idle)
+		l.idle = l.loop.Deadlines.Add(l.loop.Now()+idleClose, func() {
+			if l.cur == w && len(l.calls) == 0 {
+				l.cur = nil
+				w.net.Close()
+			}
+		})
+	}
+}
+
+func (l *Link) opened(w *wire) {
+	l.cur, l.dialing, l.backoff = w, false, 0
+	for id, c := range l.calls {
+		if c.on == nil {
+			l.write(id, c)
+		}
+	}
+}
+
+func (l *Link) refused(err error) {
+	l.dialing = false
+	l.backoff = min(max(2*l.backoff, backoffLeast), backoffMost)
+	l.log.Warn("store", "no connection to the store", err)
+	l.fail(nil, Refused)
+}
+
+func (l *Link) replied(w *wire, id string, r Reply, body []byte) {
+	if c := l.calls[id]; c != nil && c.on == w {
+		l.end(id, c)
+		l.reply(id, r, body)
+	}
+}
+
+func (l *Link) closed(w *wire, err error) {
+	if l.cur == w {
+		l.cur = nil
+	}
+	if l.fail(w, Broken) {
+		l.log.Warn("store", "connection to the store broke during a call", err)
+	}
+}
+
+// fail ends all calls on w, or those that wait for a connection.
+func (l *Link) fail(w *wire, r Reply) (any bool) {
+	for id, c := range l.calls {
+		if c.on == w {
+			any = true
+			l.end(id, c)
+			l.reply(id, r, nil)
+		}
+	}
+	return any
+}
