Test the parsers, the configuration and the deadlines; name Lanes when it is empty

The table found two wrong messages: an empty Lanes was reported as a wrong length of CallsByClass (internal/config/settings.go), and missing settings as missing Lanes.

--- a/internal/agent/codec.go
+++ b/internal/agent/codec.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -60,7 +61,7 @@
 	n := Notice{Kind: Kind(text("cmd")), Offset: v.GetInt64("offset"), Req: text("req"), Result: text("result"),
 		Token: text("token")}
 	ms := v.GetFloat64("elapsed_ms")
-	if math.IsNaN(ms) || ms < 0 || ms > 1e12 {
+	if math.IsNaN(ms) || ms < 0 || ms > 1e11 {
 		return n, fmt.Errorf("elapsed_ms: %v", ms)
 	}
 	n.Elapsed = time.Duration(ms * float64(time.Millisecond))
@@ -69,7 +70,7 @@
 		if n.Offset <= 0 || n.Req == "" {
 			return n, fmt.Errorf("%s: want an offset and a req", n.Kind)
 		}
-		if n.Kind == Outcome && !oneOf(n.Result, Success, Failure, Interrupted, Nothing) {
+		if n.Kind == Outcome && !slices.Contains([]string{Success, Failure, Interrupted, Nothing}, n.Result) {
 			return n, fmt.Errorf("outcome: unknown result %.40q", n.Result)
 		}
 		n.Payload, err = base64.StdEncoding.AppendDecode(nil, v.GetStringBytes("payload"))
@@ -77,13 +78,13 @@
 			return n, fmt.Errorf("payload: %w", err)
 		}
 	case Greeting:
-		if !oneOf(n.Result, Booting, Steady) {
+		if n.Result != Booting && n.Result != Steady {
 			return n, fmt.Errorf("greeting: unknown state %.40q", n.Result)
 		}
 	case Sampled:
 		for _, g := range v.GetArray("load") {
 			f, err := g.Float64()
-			if err != nil {
+			if err != nil || math.IsNaN(f) {
 				f = -1 // not known
 			}
 			n.Load = append(n.Load, f)
@@ -99,15 +100,6 @@
 	return n, nil
 }
 
-func oneOf(word string, words ...string) bool {
-	for _, w := range words {
-		if w == word {
-			return true
-		}
-	}
-	return false
-}
-
 // Commands are built by appending to a line. Ids are hex digits and tokens are our own, so neither
 // needs an escape.
 
--- /dev/null
+++ b/internal/agent/codec_test.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct {
+		line string
+		want Notice
+	}{
+		{`{"cmd":"greeting","result":"steady","elapsed_ms":12.5}`, Notice{Kind: Greeting, Result: Steady, Elapsed: 12500 * time.Microsecond}},
+		{`{"cmd":"outcome","offset":7,"req":"ab","result":"success","elapsed_ms":40,"payload":"AP8="}`,
+			Notice{Kind: Outcome, Offset: 7, Req: "ab", Result: Success, Elapsed: 40 * time.Millisecond, Payload: []byte{0, 255}}},
+		{`{"cmd":"request","offset":8,"req":"ab","payload":"aGk="}`, Notice{Kind: Request, Offset: 8, Req: "ab", Payload: []byte("hi")}},
+		{`{"cmd":"sampled","token":"4","load":[0.5,null,nan,2]}`, Notice{Kind: Sampled, Token: "4", Load: []float64{0.5, -1, -1, 2}}},
+		{`{"cmd":"exercised","token":"x1","result":"failure"}`, Notice{Kind: Exercised, Token: "x1", Result: Failure}},
+		{`{"cmd":"refusal","result":"launch","req":"ab"}`, Notice{Kind: Refusal, Req: "ab", Result: "launch"}},
+		{`{"cmd":"aside","offset":9,"result":"so it goes","new":{}}`, Notice{Kind: Aside, Offset: 9, Result: "so it goes"}},
+	} {
+		var p parser
+		n, err := p.parse([]byte(c.line))
+		require.NoError(t, err, c.line)
+		require.Equal(t, c.want, n)
+	}
+}
+
+func TestParseRefuses(t *testing.T) {
+	for _, line := range []string{"", "{", "[]", "7", `{"cmd":"outcome"}`, `{"cmd":"news"}`,
+		`{"cmd":"outcome","offset":1,"req":"ab","result":"odd"}`,
+		`{"cmd":"outcome","offset":1,"req":"ab","result":"success","payload":"%%"}`,
+		`{"cmd":"outcome","offset":1,"req":"ab","result":"success","elapsed_ms":-1}`,
+		`{"cmd":"request","offset":-1,"req":"ab"}`, `{"cmd":"greeting","result":"asleep"}`,
+		`{"cmd":"aside","offset":-1}`} {
+		var p parser
+		_, err := p.parse([]byte(line))
+		require.Error(t, err, line)
+	}
+}
+
+func TestCommands(t *testing.T) {
+	for want, got := range map[string][]byte{
+		`{"cmd":"subscribe","offset":12}`:                              subscribe(12),
+		`{"cmd":"launch","req":"ab","method":"a\"b","payload":"AP8="}`: launch("ab", `a"b`, []byte{0, 255}),
+		`{"cmd":"deliver","req":"ab","payload":""}`:                    deliver("ab", nil),
+		`{"cmd":"forgo","req":"ab","offset":3}`:                        forgo("ab", 3),
+		`{"cmd":"sample","token":"5"}`:                                 tokened("sample", "5"),
+	} {
+		require.Equal(t, want+"\n", string(got))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"cmd":"outcome","offset":7,"req":"ab","result":"success","elapsed_ms":40,"payload":"AP8="}`))
+	f.Add([]byte(`{"cmd":"sampled","token":"4","load":[0.5,null,nan,2]}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		var p parser
+		if n, err := p.parse(line); err == nil && (n.Elapsed < 0 || n.Offset < 0 && n.Kind != Sampled && n.Kind != Greeting && n.Kind != Exercised && n.Kind != Refusal) {
+			t.Errorf("read %+v", n)
+		}
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,6 +82,9 @@
 		return nil, fmt.Errorf("want an object, got %v", v.Type())
 	}
 	o := object{value: v, err: &err}
+	if !v.Exists("settings") {
+		o.fail("settings", "missing")
+	}
 	limits, set := o.object("limits"), o.object("settings")
 	c := &Config{
 		Name: o.text("name"), Listen: o.text("listen"), Agent: o.text("agent"), Store: o.text("store"),
@@ -104,28 +107,13 @@
 	c.defaults(o)
 	c.check(o)
 	c.checkSettings(set)
-	if seed := o.text("seed"); seed != "" {
-		if c.Seed, err = seedOf(seed, err); err != nil {
-			return nil, err
-		}
-	}
+	c.Seed = o.hex("seed")
 	if err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-func seedOf(text string, earlier error) (uint64, error) {
-	if earlier != nil {
-		return 0, earlier
-	}
-	seed, err := strconv.ParseUint(text, 16, 64)
-	if err != nil {
-		return 0, fmt.Errorf("seed: want up to 16 hex digits, got %q", text)
-	}
-	return seed, nil
-}
-
 // defaults fills in keys that are absent; one that is there must make sense.
 func (c *Config) defaults(o object) {
 	limits := o.object("limits")
@@ -165,9 +153,6 @@
 			o.fail(a.key, "%v", err)
 		}
 	}
-	if !o.value.Exists("settings") {
-		o.fail("settings", "missing")
-	}
 }
 
 // checkAddr accepts a numeric address with a port: there is no name service to ask.
@@ -179,7 +164,7 @@
 	if net.ParseIP(host) == nil {
 		return fmt.Errorf("%q is not an IP address", host)
 	}
-	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 && host != "127.0.0.1" {
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
 		return fmt.Errorf("%q is not a port", port)
 	}
 	return nil
@@ -203,8 +188,6 @@
 		f.fail("Halt", "the agent has no command that stops a run; only \"off\" can be served")
 	case s.Advert != decide.AdvertOff:
 		f.fail("Advert", "answers carry no such value; only \"off\" can be served")
-	case len(s.Classes) == 0:
-		set.fail("Lanes", "no classes")
 	}
 	for _, t := range []struct {
 		o    object
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"falldeal/decide"
+
+	"github.com/stretchr/testify/require"
+)
+
+const sample = "testdata/config.json"
+
+func none(string) string { return "" }
+
+func read(t testing.TB) string {
+	text, err := os.ReadFile(sample)
+	require.NoError(t, err)
+	return string(text)
+}
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(read(t)), none)
+	require.NoError(t, err)
+	require.Equal(t, "n3", c.Name)
+	require.Equal(t, "127.0.0.1:8900", c.Store)
+	require.Equal(t, uint64(0x8c1f30d27a5be964), c.Seed)
+	require.Equal(t, 3200*time.Millisecond, c.Stop)
+	require.Equal(t, Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}, c.Limits)
+	require.Equal(t, []string{"preview", "hires-crop", "licence-order"}, c.Classes)
+	require.Equal(t, []string{"core_use", "on_cores", "heap_share", "links"}, c.Gauges)
+	require.Equal(t, decide.Keyed, c.Settings.Classes[2].Safety)
+	require.Equal(t, 17457*time.Millisecond, c.Settings.Classes[2].KeyWindow)
+	require.Equal(t, []bool{true, false, true}, []bool{c.Settings.Classes[0].Calls, c.Settings.Classes[1].Calls, c.Settings.Classes[2].Calls})
+	_, err = decide.New(c.Settings, c.Seed, 0)
+	require.NoError(t, err, "what passes the check must start a controller")
+}
+
+func TestDefaults(t *testing.T) {
+	text := strings.Replace(read(t), `"seed": "8c1f30d27a5be964", "stop_ms": 3200,`, "", 1)
+	text = strings.Replace(text, `"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},`, "", 1)
+	c, err := Parse([]byte(text), none)
+	require.NoError(t, err)
+	require.Equal(t, defaultStop, c.Stop)
+	require.Equal(t, Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}, c.Limits)
+}
+
+func TestEnvironment(t *testing.T) {
+	t.Setenv(envName, "n9")
+	t.Setenv(envListen, "127.0.0.2:5050")
+	t.Setenv(envPath, sample)
+	c, err := Load("")
+	require.NoError(t, err)
+	require.Equal(t, "n9", c.Name)
+	require.Equal(t, "127.0.0.2:5050", c.Listen)
+
+	t.Setenv(envPath, "")
+	_, err = Load("")
+	require.ErrorContains(t, err, envPath)
+	_, err = Load(filepath.Join(t.TempDir(), "absent"))
+	require.Error(t, err)
+}
+
+// A wrong configuration must end the start with the name of the key, not with a server that guesses.
+func TestFaultyKeys(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{`"n3"`, `""`, "name:"},
+		{`"n3"`, `7`, "name:"},
+		{`"127.0.0.1:5050"`, `"localhost:5050"`, "listen:"},
+		{`"127.0.0.1:4400"`, `"127.0.0.1"`, "agent:"},
+		{`"127.0.0.1:8900"`, `"127.0.0.1:0"`, "store:"},
+		{`"127.0.0.1:8761"`, `"127.0.0.1:99999"`, "announce:"},
+		{`"8c1f30d27a5be964"`, `"seed"`, "seed:"},
+		{`3200`, `0`, "stop_ms:"},
+		{`3200`, `1.5`, "stop_ms:"},
+		{`"cores": 1.0`, `"cores": -1`, "limits.cores:"},
+		{`"cores": 1.0`, `"cores": nan`, "limits.cores:"},
+		{`192`, `4`, "limits.memory_mb:"},
+		{`1024`, `8`, "limits.sockets:"},
+		{`"limits": {`, `"limits": 5, "old": {`, "limits:"},
+		{`"settings"`, `"other"`, "settings:"},
+		{`"Cpus": 6`, `"Cpus": 0`, "settings.FamilyInfo.Cpus:"},
+		{`43152.0`, `-1`, "settings.FamilyInfo.MemoryKb:"},
+		{`73.43`, `-1`, "settings.FamilyInfo.KbPerKey:"},
+		{`16.0`, `-1`, "settings.FamilyInfo.Blowup:"},
+		{`5.9`, `-1`, "settings.FamilyInfo.CallsOut:"},
+		{`"Halt": "off"`, `"Halt": "maybe"`, "settings.FamilyInfo.Halt:"},
+		{`"Halt": "off"`, `"Halt": "pause"`, "settings.FamilyInfo.Halt:"},
+		{`"Advert": "off"`, `"Advert": "level"`, "settings.FamilyInfo.Advert:"},
+		{`[true, false, true]`, `[true]`, "settings.FamilyInfo.CallsByClass:"},
+		{`[true, false, true]`, `[true, 1, true]`, "settings.FamilyInfo.CallsByClass[1]:"},
+		{`[0.6, 0.0, 0.0]`, `[0.6, "", 0.0]`, "settings.FamilyInfo.ClassSkipWorth[1]:"},
+		{`18000000`, `-5`, "settings.Invariants.ColdUs:"},
+		{`"TickUs": 5000`, `"TickUs": "5"`, "settings.TickUs:"},
+		{`"preview"`, `"hires-crop"`, "settings.Lanes[1].Name:"},
+		{`"preview"`, `""`, "settings.Lanes[0].Name:"},
+		{`"keyed"`, `"once"`, "settings.Lanes[2].Idempotency:"},
+		{`"DeadlineUs": 7000000`, `"DeadlineUs": 0`, "settings.Lanes[0].DeadlineUs:"},
+		{`"Lanes": [`, `"Lanes": [], "Old": [`, "settings.Lanes:"},
+		{`"Lanes": [`, `"Lanes": [3, `, "settings.Lanes[0]:"},
+	} {
+		text := strings.Replace(read(t), c.old, c.new, 1)
+		_, err := Parse([]byte(text), none)
+		require.ErrorContains(t, err, c.key, "%s in place of %s", c.new, c.old)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(read(f))
+	f.Add(`{"settings":{"Lanes":[{}]}}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := Parse([]byte(text), none)
+		if err == nil {
+			_, err = decide.New(c.Settings, c.Seed, 0)
+			require.NoError(t, err, "what passes the check must start a controller")
+		}
+	})
+}
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -76,10 +76,29 @@
 }
 
 func (o object) number(name string) float64 {
-	if v := o.get(name, fastjson.TypeNumber); v != nil {
-		return v.GetFloat64()
+	v := o.get(name, fastjson.TypeNumber)
+	if v == nil {
+		return 0
+	}
+	f := v.GetFloat64()
+	if math.IsNaN(f) || math.IsInf(f, 0) {
+		o.fail(name, "want a finite number, got %v", v)
+		return 0
+	}
+	return f
+}
+
+// hex reads a number that is written as a string of up to 16 hex digits.
+func (o object) hex(name string) uint64 {
+	word := o.text(name)
+	if word == "" {
+		return 0
 	}
-	return 0
+	v, err := strconv.ParseUint(word, 16, 64)
+	if err != nil {
+		o.fail(name, "want up to 16 hex digits, got %.40q", word)
+	}
+	return v
 }
 
 func (o object) whole(name string) int64 {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -48,6 +48,10 @@
 			WorstClass: mix.number("WorstClass"), WorstTenant: mix.number("WorstTenant")},
 	}
 	lanes, calls, skips := o.objects("Lanes"), f.flags("CallsByClass"), f.numbers("ClassSkipWorth")
+	if len(lanes) == 0 {
+		o.fail("Lanes", "no classes")
+		return s
+	}
 	if n := len(calls); n != 0 && n != len(lanes) {
 		f.fail("CallsByClass", "%d values for %d classes", n, len(lanes))
 		return s
--- a/internal/server/route.go
+++ b/internal/server/route.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"time"
 
 	"falldeal/decide"
@@ -54,7 +55,7 @@
 		s.reuse(r)
 	default:
 		// Stop and Advertise need settings that the configuration does not admit.
-		s.log.WithField("action", a.Kind).Error("action that can't be carried out")
+		s.warn.Warn("action", fmt.Sprintf("action %d can't be carried out", a.Kind), nil)
 	}
 }
 
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -11,7 +11,7 @@
 // controller believes.
 func (s *Server) run(r *request) {
 	if !s.keys.mayRun(r) {
-		s.log.WithField("request", r.try.ID).Error("second run of a keyed request prevented")
+		s.warn.Warn("second run", "second run of a keyed request prevented", nil)
 		s.happened(decide.Event{Kind: decide.Done, ID: r.id, Outcome: decide.Moot})
 		s.answer(r, Answer{Kind: Failed})
 		s.forget(r)
--- /dev/null
+++ b/internal/store/codec_test.go
@@ -0,0 +1,59 @@
+package store
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestReadReply(t *testing.T) {
+	in := bufio.NewReader(strings.NewReader("ab OK 4\r\n\r\nhi\r\ncd BUSY\r\nab ERR\r\nab LATE\r\nef VOID\r\nab OK 0\r\n\r\n"))
+	for _, want := range []struct {
+		id   string
+		r    Reply
+		body string
+	}{{"ab", OK, "\r\nhi"}, {"cd", Busy, ""}, {"ab", Err, ""}, {"ab", Late, ""}, {"ef", Void, ""}, {"ab", OK, ""}} {
+		id, r, body, err := readReply(in)
+		require.NoError(t, err)
+		require.Equal(t, want.id, id)
+		require.Equal(t, want.r, r)
+		require.Equal(t, want.body, string(body))
+	}
+	_, _, _, err := readReply(in)
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestReadReplyRefuses(t *testing.T) {
+	for _, text := range []string{"ab OK 4\nhi", "ab\r\n", "ab OK\r\n", "ab BUSY 4\r\n", "ab WELL\r\n", "ab OK x\r\n",
+		" OK 1\r\nx\r\n", "ab OK -1\r\n", "ab OK 99999999\r\n", "ab OK 2\r\nabcd", "ab OK 2\r\na", "ab BUSY 1 2\r\n",
+		strings.Repeat("a", maxLine) + " BUSY\r\n", strings.Repeat("a", 8<<10)} {
+		_, _, _, err := readReply(bufio.NewReaderSize(strings.NewReader(text), 1<<10))
+		require.Error(t, err, "%.40q", text)
+	}
+}
+
+func TestCommands(t *testing.T) {
+	require.Equal(t, "CALL ab 250 3\r\na\r\n\r\n", string(appendCall(nil, "ab", 250*time.Millisecond, []byte("a\r\n"))))
+	require.Equal(t, "CALL ab 1 0\r\n\r\n", string(appendCall(nil, "ab", -time.Second, nil)))
+	require.Equal(t, "DROP ab\r\n", string(appendDrop(nil, "ab")))
+}
+
+func FuzzReadReply(f *testing.F) {
+	f.Add("ab OK 4\r\n\r\nhi\r\ncd BUSY\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		in := bufio.NewReader(strings.NewReader(text))
+		for {
+			id, r, body, err := readReply(in)
+			if err != nil {
+				return
+			}
+			if id == "" || r > Void || r != OK && body != nil {
+				t.Errorf("read %q %d %q", id, r, body)
+			}
+		}
+	})
+}
