--- /dev/null
+++ b/internal/announce/announce_test.go
@@ -0,0 +1,39 @@
+package announce
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"falldeal/internal/logging"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+)
+
+// A change is reported at once, and a report is repeated so that the entry does not lapse.
+func TestReports(t *testing.T) {
+	service, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer service.Close()
+	log, _ := test.NewNullLogger()
+	a := New(service.LocalAddr().String(), "n3", logging.NewLimiter(log))
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan error)
+	go func() { over <- a.Run(ctx) }()
+	next := func() string {
+		b := make([]byte, 100)
+		n, _, err := service.ReadFrom(b)
+		require.NoError(t, err)
+		return string(b[:n])
+	}
+	a.Set(true)
+	require.Equal(t, "announce n3 true", next())
+	require.Equal(t, "announce n3 true", next())
+	a.Set(false)
+	for next() != "announce n3 false" {
+	}
+	require.Equal(t, "announce n3 false", next())
+	cancel()
+	require.NoError(t, <-over)
+}
--- /dev/null
+++ b/internal/msgpackrpc/conn_test.go
@@ -0,0 +1,92 @@
+package msgpackrpc
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"falldeal/internal/server"
+
+	"github.com/stretchr/testify/require"
+)
+
+func appendProbe(id uint32, fields map[string]string) []byte {
+	b := appendUint(append(appendArray(nil, 4), kindRequest), id)
+	return appendFields(appendArray(appendText(b, methodHealth), 1), fields)
+}
+
+// Wrong requests are answered; a broken frame ends its own connection and no other.
+func TestWrongInput(t *testing.T) {
+	p := start(t)
+	f := p.dial()
+	f.send("poster", "x")
+	f.expectAnswer(1, errInvalid)
+	f.send("licence-order", "without once")
+	f.expectAnswer(2, errInvalid)
+	f.send("preview", "x", "kb", "-1")
+	f.expectAnswer(3, errInvalid)
+	run := f.send("preview", "x")
+	p.expect("launch", run)
+	f.send("preview", "same id", "id", run)
+	f.expectAnswer(5, errInvalid)
+	for _, broken := range []string{"\xc1", "\x01", "\x94\x00\x01\xa1x\xc6\xff\xff\xff\xff"} {
+		g := p.dial()
+		g.write([]byte(broken))
+		g.expectEnd()
+	}
+	f.write(appendProbe(6, map[string]string{"deep": "1"}))
+	f.expectAnswer(6, "%!s(bool=true)")
+	p.tell("outcome", run, "success", []byte("served"))
+	f.expectAnswer(4, "served")
+}
+
+// After cancelRequest nothing is owed, and what the run still tells does no harm.
+func TestCancel(t *testing.T) {
+	p := start(t)
+	f := p.dial()
+	run := f.send("preview", "x")
+	p.expect("launch", run)
+	cancel := appendText(append(appendArray(nil, 3), kindNotification), methodCancel)
+	f.write(appendUint(appendArray(cancel, 1), 1))
+	f.write(appendUint(appendArray(cancel, 1), 99)) // unknown
+	f.write(appendProbe(2, nil))
+	f.expectAnswer(2, "%!s(bool=true)")
+	p.tell("outcome", run, "interrupted", nil)
+	f.next = 2
+	next := f.send("preview", "y")
+	p.expect("launch", next)
+	p.tell("outcome", next, "success", []byte("y"))
+	f.expectAnswer(3, "y")
+}
+
+// Front ends may take half of the descriptors: the connection idle for longest makes room.
+func TestConnectionLimit(t *testing.T) {
+	p := start(t, `"sockets": 1024`, `"sockets": 64`)
+	var all []*front
+	for i := range 33 {
+		f := p.dial()
+		f.write(appendProbe(1, nil))
+		f.expectAnswer(1, "%!s(bool=true)")
+		if i == 0 {
+			p.expect("launch", f.send("preview", "busy"))
+		}
+		all = append(all, f)
+	}
+	all[1].expectEnd()
+	all[2].write(appendProbe(2, nil))
+	all[2].expectAnswer(2, "%!s(bool=true)")
+}
+
+// A peer that does not read loses its connection; handing it answers never blocks.
+func TestDeafPeer(t *testing.T) {
+	here, there := net.Pipe()
+	c := newConn(here)
+	done := make(chan struct{})
+	go func() { c.write(); close(done) }()
+	for i := range 2 * outRoom {
+		c.Answer(uint32(i), server.Answer{Kind: server.Served, Body: make([]byte, 4<<10)})
+	}
+	<-done
+	_, err := fmt.Fprint(there, "x")
+	require.Error(t, err)
+}
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -49,7 +49,7 @@
 		return
 	}
 	s.settle(r)
-	s.store.Drop(r.try.ID)
+	s.hangUp(r)
 	s.happened(decide.Event{Kind: decide.Gone, ID: r.id})
 	if !r.running {
 		s.forget(r)
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -47,7 +47,7 @@
 // fail answers r with an error. Its run, if there is one, goes on to its end or next call.
 func (s *Server) fail(r *request) {
 	s.answer(r, Answer{Kind: Failed})
-	s.store.Drop(r.try.ID)
+	s.hangUp(r)
 	if !r.running {
 		s.forget(r)
 	}
@@ -76,7 +76,7 @@
 
 // finish ends the run of r, answers it where that is still owed, and those that repeat it.
 func (s *Server) finish(r *request, o decide.Outcome, result []byte) {
-	s.store.Drop(r.try.ID)
+	s.hangUp(r)
 	s.agent.Forget(r.try.ID)
 	s.happened(decide.Event{Kind: decide.Done, ID: r.id, Outcome: o, Took: s.clock.now - r.began})
 	if o == decide.OK {
--- /dev/null
+++ b/internal/server/keys_test.go
@@ -0,0 +1,79 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"falldeal/decide"
+
+	"github.com/stretchr/testify/require"
+)
+
+func keyed(id int, at time.Duration) *request {
+	return &request{id: decide.RequestID(id), try: Try{Once: "k", At: at}, window: time.Minute}
+}
+
+// The entry passes on while no try has run; from a run on it is that run's for the whole window,
+// counted from when that try came.
+func TestKeyWindow(t *testing.T) {
+	keys := newKeyTable()
+	a, b, c := keyed(1, 0), keyed(2, time.Second), keyed(3, 2*time.Second)
+	require.Zero(t, keys.take(a))
+	require.Equal(t, a.id, keys.take(b))
+	require.Nil(t, keys.left(a)) // refused: b takes its place
+	keys.keep(b)
+	require.Equal(t, b.id, keys.take(c))
+	require.True(t, keys.mayRun(b))
+	keys.ran(b)
+	require.False(t, keys.mayRun(c))
+	_, _, over := keys.join(c)
+	require.False(t, over)
+	require.Equal(t, []*request{c}, keys.ended(b, decide.OK, []byte("x")))
+	e := keys.left(b)
+	require.Equal(t, 61*time.Second, e.closes)
+	require.Nil(t, keys.left(c))
+
+	inside, past := keyed(4, 61*time.Second), keyed(5, 62*time.Second)
+	require.Equal(t, b.id, keys.take(inside))
+	result, ok, over := keys.join(inside)
+	require.Equal(t, "x true true", string(result)+" "+map[bool]string{true: "true"}[ok]+" "+map[bool]string{true: "true"}[over])
+	require.Zero(t, keys.take(past))
+	keys.drop(e) // its time comes while the newer entry stands
+	require.Equal(t, 1, keys.size())
+	require.Zero(t, keys.bytes)
+}
+
+// A repeat of a try that went without a run must not wait for it for ever, and what the agent never
+// began may be run by a later try.
+func TestKeyWithoutRun(t *testing.T) {
+	keys := newKeyTable()
+	a, b := keyed(1, 0), keyed(2, 0)
+	keys.take(a)
+	keys.take(b)
+	keys.left(a)
+	_, ok, over := keys.join(b)
+	require.True(t, over)
+	require.False(t, ok)
+	keys.left(b)
+	c := keyed(3, 0)
+	require.Zero(t, keys.take(c))
+	keys.ran(c)
+	keys.ended(c, decide.Moot, nil)
+	require.Nil(t, keys.left(c))
+	require.Zero(t, keys.take(keyed(4, 0)))
+}
+
+// Results are dropped before they fill the memory; the record of the run stays.
+func TestKeyMemory(t *testing.T) {
+	keys := newKeyTable()
+	keys.bytes = keyBytes
+	a, b := keyed(1, 0), keyed(2, 0)
+	keys.take(a)
+	keys.ran(a)
+	keys.ended(a, decide.OK, []byte("x"))
+	require.Equal(t, a.id, keys.take(b))
+	_, ok, over := keys.join(b)
+	require.True(t, over)
+	require.False(t, ok)
+	require.False(t, keys.mayRun(b))
+}
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -29,6 +29,13 @@
 	s.store.Call(r.try.ID, s.clock.now+limit, r.waits)
 }
 
+// hangUp gives up the call of r, whose answer nobody waits for.
+func (s *Server) hangUp(r *request) {
+	if s.store.Drop(r.try.ID) {
+		s.stats.CallsDropped++
+	}
+}
+
 // outcomes says what a reply proves about the call.
 var outcomes = [...]decide.Outcome{
 	store.OK:      decide.OK,
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,123 @@
+package server
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"falldeal/decide"
+	"falldeal/internal/config"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+)
+
+// peer notes what it is handed.
+type peer struct{ got []any }
+
+func (p *peer) Answer(call uint32, a Answer) { p.got = append(p.got, a.Kind) }
+func (p *peer) Closing()                     { p.got = append(p.got, "closing") }
+func (p *peer) Close()                       { p.got = append(p.got, "close") }
+func (p *peer) MostOpen() int                { return 2 }
+
+// idle returns a server that does not run; do carries out what was posted to it.
+func idle(t *testing.T) (s *Server, do func()) {
+	text, err := os.ReadFile("../config/testdata/config.json")
+	require.NoError(t, err)
+	cfg, err := config.Parse(text, func(string) string { return "" })
+	require.NoError(t, err)
+	log, _ := test.NewNullLogger()
+	s = New(cfg, log)
+	return s, func() {
+		for len(s.in) > 0 {
+			(<-s.in)()
+		}
+	}
+}
+
+// Before the agent is up nothing can be run: requests are refused and health is bad.
+func TestBeforeTheAgentIsUp(t *testing.T) {
+	s, do := idle(t)
+	p := &peer{}
+	s.Opened(p)
+	s.Submit(p, 1, Try{ID: "ab", Class: "preview"})
+	s.Probe(p, 2, true)
+	do()
+	require.Equal(t, []any{Refused, Unhealthy}, p.got)
+	require.Empty(t, s.requests)
+}
+
+// A deep check asks the agent only where the controller leaves the answer open.
+func TestDeepCheck(t *testing.T) {
+	s, do := idle(t)
+	p := &peer{}
+	s.Opened(p)
+	s.good, s.stored = true, true
+	s.Probe(p, 1, true)
+	do()
+	require.Equal(t, []any{Healthy}, p.got)
+	s.stored = false
+	s.Probe(p, 2, false)
+	s.Probe(p, 3, true) // there is no link to the agent
+	do()
+	require.Equal(t, []any{Healthy, Healthy, Unhealthy}, p.got)
+	s.exercises["x"] = probe{p, 4}
+	s.exercised("x", true)
+	s.exercised("x", true) // the limit, which comes too late
+	require.Equal(t, []any{Healthy, Healthy, Unhealthy, Healthy}, p.got)
+}
+
+// Idle connections are told to go, and closed where they don't; busy ones stay.
+func TestIdleConnections(t *testing.T) {
+	s, do := idle(t)
+	p := &peer{}
+	s.Opened(p)
+	do()
+	s.idle = time.Second
+	s.peers[p].used = s.clock.now - time.Second
+	s.peers[p].open[1] = &request{}
+	s.closeIdle()
+	require.Empty(t, p.got)
+	delete(s.peers[p].open, 1)
+	s.closeIdle()
+	s.closeIdle()
+	require.Equal(t, []any{"closing"}, p.got)
+	s.peers[p].used -= closingGrace
+	s.closeIdle()
+	require.Equal(t, []any{"closing", "close"}, p.got)
+	require.Empty(t, s.peers)
+}
+
+// Old gauges are worse than none: the controller would act on a load that is long gone.
+func TestGauges(t *testing.T) {
+	s, _ := idle(t)
+	s.sampled([]float64{0.5, 3, 0.25, 9, 7})
+	want := decide.Gauges{CoreUse: 0.5, OnCores: 3, Heap: 0.25, Links: 9}
+	timer := func() decide.Gauges {
+		s.events = nil
+		s.wake(s.clock.now)
+		s.deadlines.Sweep(s.clock.now)
+		return s.events[0].Gauges
+	}
+	require.Equal(t, want, timer())
+	s.clock.now += gaugesFresh + 1
+	require.Equal(t, unknownGauges, timer())
+	s.sampled([]float64{0.5})
+	require.Equal(t, decide.Gauges{CoreUse: 0.5, OnCores: -1, Heap: -1, Links: -1}, timer())
+}
+
+// The controller's clock must not go back when the system's does, nor stand still until that catches up.
+func TestClock(t *testing.T) {
+	at := time.Now()
+	c := clock{read: func() time.Time { return at }}
+	began := c.advance()
+	require.Equal(t, time.Duration(at.UnixNano()), began)
+	at = at.Round(0).Add(-time.Hour) // without its monotonic part
+	require.Equal(t, began, c.advance())
+	require.Equal(t, began, c.own(time.Duration(at.UnixNano())))
+	at = at.Add(time.Second)
+	require.Equal(t, began+time.Second, c.advance())
+	at = at.Add(2 * time.Hour)
+	require.Equal(t, time.Duration(at.UnixNano()), c.advance())
+	require.Zero(t, c.skew)
+}
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -166,16 +166,17 @@
 	}
 }
 
-// Drop gives up the call for request id, if there is one; nothing is reported of it any more.
-func (l *Link) Drop(id string) {
+// Drop gives up the call for request id and reports whether there is one; nothing is told of it any more.
+func (l *Link) Drop(id string) bool {
 	c := l.calls[id]
 	if c == nil {
-		return
+		return false
 	}
 	if c.on != nil && c.on == l.cur {
 		l.cur.send(appendDrop(nil, id))
 	}
 	l.end(id, c)
+	return true
 }
 
 func (l *Link) end(id string, c *call) {
