--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"falldeal/internal/logging"
+	"falldeal/internal/outbox"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -20,7 +21,6 @@
 	maxLine      = 32 << 10 // a result of 4 KiB in base64, many times over
 	outRoom      = 4096     // commands that wait to be written
 	dialTimeout  = 2 * time.Second
-	writeTimeout = 20 * time.Second
 	backoffLeast = 10 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
 )
@@ -39,19 +39,13 @@
 	notice func(Notice)
 	log    *logging.Limiter
 
-	cur    *wire
+	cur    *outbox.Outbox
 	synced bool      // commands may be written
 	last   int64     // offset of the last notice read
 	seq    int64     // counts commands and samples; a sample's number is its token
 	unread []command // in order of sending
 }
 
-// wire is one connection.
-type wire struct {
-	net net.Conn
-	out chan []byte
-}
-
 // New returns a Link that hands each new notice to the function notice, within the loop.
 func New(addr string, post func(func()), notice func(Notice), log *logging.Limiter) *Link {
 	return &Link{addr: addr, post: post, notice: notice, log: log}
@@ -84,21 +78,19 @@
 	if err != nil {
 		return err
 	}
-	w := &wire{net: nc, out: make(chan []byte, outRoom)}
-	g, gctx := errgroup.WithContext(ctx)
-	stop := context.AfterFunc(gctx, func() { nc.Close() })
-	defer stop()
-	g.Go(func() error { return w.write(gctx) })
+	w := outbox.New(nc, outRoom)
+	g, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, w.Close)()
+	g.Go(w.Run)
 	l.post(func() { l.opened(w) })
-	g.Go(func() error { return l.read(w) })
+	g.Go(func() error { return l.read(nc, w) })
 	err = g.Wait()
-	nc.Close()
 	l.post(func() { l.closed(w) })
 	return err
 }
 
-func (l *Link) read(w *wire) error {
-	in := bufio.NewReaderSize(w.net, maxLine)
+func (l *Link) read(nc net.Conn, w *outbox.Outbox) error {
+	in := bufio.NewReaderSize(nc, maxLine)
 	var p parser
 	for {
 		line, err := in.ReadSlice('\n')
@@ -113,50 +105,19 @@
 	}
 }
 
-func (w *wire) write(ctx context.Context) error {
-	out := bufio.NewWriterSize(w.net, 16<<10)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case b := <-w.out:
-			if err := w.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-				return err
-			}
-			if _, err := out.Write(b); err != nil {
-				return err
-			}
-			if len(w.out) > 0 {
-				continue
-			}
-			if err := out.Flush(); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-func (w *wire) send(b []byte) {
-	select {
-	case w.out <- b:
-	default:
-		w.net.Close() // the agent does not read: a new link sends again what it missed
-	}
-}
-
-func (l *Link) opened(w *wire) {
+func (l *Link) opened(w *outbox.Outbox) {
 	l.cur, l.synced = w, false
-	w.send(subscribe(l.last))
+	w.Send(subscribe(l.last))
 }
 
-func (l *Link) closed(w *wire) {
+func (l *Link) closed(w *outbox.Outbox) {
 	if l.cur == w {
 		l.cur, l.synced = nil, false
 	}
 }
 
 // handle takes a notice in the loop: what was seen on an earlier link is dropped.
-func (l *Link) handle(w *wire, n Notice) {
+func (l *Link) handle(w *outbox.Outbox, n Notice) {
 	if w != l.cur {
 		return
 	}
@@ -192,7 +153,7 @@
 	}
 	l.synced = true
 	for _, c := range l.unread {
-		l.cur.send(c.line)
+		l.cur.Send(c.line)
 	}
 }
 
@@ -206,7 +167,7 @@
 	l.seq++
 	l.unread = append(l.unread, command{l.seq, req, line})
 	if l.synced {
-		l.cur.send(line)
+		l.cur.Send(line)
 	}
 }
 
@@ -234,7 +195,7 @@
 
 func (l *Link) sample() {
 	l.seq++
-	l.cur.send(tokened("sample", strconv.FormatInt(l.seq, 10)))
+	l.cur.Send(tokened("sample", strconv.FormatInt(l.seq, 10)))
 }
 
 // ErrDown says that there is no link.
@@ -245,6 +206,6 @@
 	if !l.synced {
 		return ErrDown
 	}
-	l.cur.send(tokened("exercise", token))
+	l.cur.Send(tokened("exercise", token))
 	return nil
 }
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -61,7 +61,7 @@
 func (f *Front) start(ctx context.Context, g *errgroup.Group, c *conn, s *server.Server) {
 	g.Go(func() error {
 		defer context.AfterFunc(ctx, c.Close)()
-		c.write()
+		_ = c.Run() // the reader tells of a connection that broke
 		return nil
 	})
 	g.Go(func() error {
--- /dev/null
+++ b/internal/outbox/outbox.go
@@ -0,0 +1,69 @@
+// Package outbox writes to a connection what others queue, without ever holding them up.
+package outbox
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+)
+
+const writeTimeout = 20 * time.Second // a peer's machine may stand still for a while
+
+// Outbox is the writing side of a connection.
+type Outbox struct {
+	conn  net.Conn
+	queue chan []byte
+	once  sync.Once
+	stop  chan struct{}
+}
+
+// New returns an Outbox for conn in which up to room messages may wait.
+func New(conn net.Conn, room int) *Outbox {
+	return &Outbox{conn: conn, queue: make(chan []byte, room), stop: make(chan struct{})}
+}
+
+// Send queues b, which must not be changed any more. A peer that does not read loses the connection.
+func (o *Outbox) Send(b []byte) {
+	select {
+	case o.queue <- b:
+	default:
+		o.conn.Close()
+	}
+}
+
+// Close has Run write what waits and then close the connection. It may be called more than once.
+func (o *Outbox) Close() { o.once.Do(func() { close(o.stop) }) }
+
+// Run writes, several messages at a time where they wait, until Close is called or the peer fails. The
+// connection is closed when it returns.
+func (o *Outbox) Run() error {
+	defer o.conn.Close()
+	w := bufio.NewWriterSize(o.conn, 8<<10)
+	for {
+		select {
+		case b := <-o.queue:
+			if err := o.write(w, b); err != nil {
+				return err
+			}
+		case <-o.stop:
+			for len(o.queue) > 0 {
+				if err := o.write(w, <-o.queue); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+	}
+}
+
+// write flushes once nothing more waits.
+func (o *Outbox) write(w *bufio.Writer, b []byte) error {
+	if err := o.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := w.Write(b); err != nil || len(o.queue) > 0 {
+		return err
+	}
+	return w.Flush()
+}
