Bound connections before they are accepted, and deep checks at work at once

Seen on rereading: the loop closed connections past half of the descriptors, but a flood could have accepted up to a thousand before it came to that (internal/msgpackrpc/front.go), and a flood of deep checks would have been handed to the agent one by one (internal/server/take.go). Connections now take a slot before they are accepted; deep checks past 16 are answered from the controller's state.

--- a/cmd/falldeal/main.go
+++ b/cmd/falldeal/main.go
@@ -96,7 +96,7 @@
 func serve(c *config.Config, log *logrus.Logger) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Limits.Cores)), 1))
 	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB<<20)))
-	front, err := msgpackrpc.Listen(c.Listen, logging.NewLimiter(log))
+	front, err := msgpackrpc.Listen(c.Listen, c.Limits.FrontSockets(), logging.NewLimiter(log))
 	if err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,6 +38,12 @@
 	Sockets  int // file descriptors
 }
 
+// frontShare: front ends may take one descriptor in this many.
+const frontShare = 2
+
+// FrontSockets is how many connections front ends may have open.
+func (l Limits) FrontSockets() int { return l.Sockets / frontShare }
+
 // Config is what an image server is told at its start.
 type Config struct {
 	Name     string // under which the announce service lists it
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -18,17 +18,18 @@
 
 // Front is a listener for front ends; it implements server.Front.
 type Front struct {
-	ln  net.Listener
-	log *logging.Limiter
+	ln    net.Listener
+	slots chan struct{} // one for each connection that is open
+	log   *logging.Limiter
 }
 
-// Listen opens a Front on addr.
-func Listen(addr string, log *logging.Limiter) (*Front, error) {
+// Listen opens a Front on addr that accepts up to most connections at a time; further ones wait.
+func Listen(addr string, most int, log *logging.Limiter) (*Front, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &Front{ln: ln, log: log}, nil
+	return &Front{ln: ln, slots: make(chan struct{}, most), log: log}, nil
 }
 
 // Addr is where the Front listens.
@@ -41,11 +42,17 @@
 func (f *Front) Serve(ctx context.Context, g *errgroup.Group, s *server.Server) error {
 	defer context.AfterFunc(ctx, func() { f.ln.Close() })()
 	for {
+		select {
+		case f.slots <- struct{}{}:
+		case <-ctx.Done():
+			return nil
+		}
 		nc, err := f.ln.Accept()
 		if err == nil {
 			f.start(ctx, g, newConn(nc), s)
 			continue
 		}
+		<-f.slots
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -62,6 +69,7 @@
 	g.Go(func() error {
 		defer context.AfterFunc(ctx, c.Close)()
 		_ = c.Run() // the reader tells of a connection that broke
+		<-f.slots
 		return nil
 	})
 	g.Go(func() error {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,10 +17,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const (
-	inRoom    = 1024 // messages that wait for the loop
-	peerShare = 2    // front ends may take one descriptor in this many
-)
+const inRoom = 1024 // messages that wait for the loop
 
 // request is one try from its intake until nothing more is to come about it.
 type request struct {
--- a/internal/server/take.go
+++ b/internal/server/take.go
@@ -12,6 +12,8 @@
 	idleCheck     = 500 * time.Millisecond // between looks for idle connections
 	closingGrace  = 2 * time.Second        // for a peer to close after it was told to
 	exerciseLimit = 2 * time.Second        // for the work of a deep health check
+	exercisesMost = 16                     // such checks at work at once
+	sparePeers    = 8                      // connections left free, so that one more is accepted while an idle one ends
 )
 
 // peerState is what the loop knows of a connection.
@@ -36,7 +38,7 @@
 func (s *Server) Opened(p Peer) {
 	s.post(func() {
 		s.stats.Connections++
-		if len(s.peers) >= s.cfg.Limits.Sockets/peerShare && !s.makeRoom() {
+		if len(s.peers) >= s.cfg.Limits.FrontSockets()-sparePeers && !s.makeRoom() {
 			s.stats.ConnectionsClosed++
 			p.Close()
 			return
@@ -134,7 +136,7 @@
 }
 
 // Probe answers a health check the way the controller wants it: from its last word, or, for a deep
-// one that it leaves open, by whether the agent gets work done.
+// one that it leaves open, by whether the agent gets work done. A flood of those is not passed on.
 func (s *Server) Probe(p Peer, call uint32, deep bool) {
 	s.post(func() {
 		st := s.peers[p]
@@ -143,7 +145,7 @@
 		}
 		st.used = s.clock.now
 		s.stats.Probes++
-		if !deep || s.stored || !s.good {
+		if !deep || s.stored || !s.good || len(s.exercises) >= exercisesMost {
 			s.answerProbe(probe{p, call}, s.good)
 			return
 		}
