One step of the controller a turn; what its actions end waits for the next turn

Step used to be called again within the turn for answers taken from an earlier try. The loop now turns again at once instead, without waiting for input. Found on the way: a drain before the agent is up queued its notice though there was no controller (internal/server/server.go, happened); with the new loop that would have kept it turning. TestBeforeTheAgentIsUp covers it.

--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -63,7 +63,6 @@
 	}
 	s.log.WithFields(map[string]any{"state": n.Result, "age": n.Elapsed.String()}).Info("agent is up")
 	s.ctl = ctl
-	s.gauges = unknownGauges
 	s.happened(decide.Event{Kind: decide.Timer, Gauges: unknownGauges}) // the first step
 	if s.drain.on {
 		s.happened(decide.Event{Kind: decide.Notice, At: s.drain.stopAt})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -129,7 +129,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !s.finished() {
-		if at, ok := s.deadlines.Next(); ok {
+		if len(s.events) > 0 {
+			timer.Reset(0) // actions of the last turn have ended in events of their own
+		} else if at, ok := s.deadlines.Next(); ok {
 			timer.Reset(max(at-s.clock.advance(), 0))
 		}
 		select {
@@ -151,20 +153,24 @@
 	}
 }
 
-// step has the controller decide on what happened. Some actions end at once, in events of their own,
-// which get a step too.
+// step has the controller decide on what happened, and carries out its actions.
 func (s *Server) step() {
-	for s.ctl != nil && len(s.events) > 0 {
-		events := s.events
-		s.events = nil
-		s.actions = s.ctl.Step(s.clock.now, events, s.actions[:0])
-		for _, a := range s.actions {
-			s.route(a)
-		}
+	if s.ctl == nil || len(s.events) == 0 {
+		return
+	}
+	s.actions = s.ctl.Step(s.clock.now, s.events, s.actions[:0])
+	s.events = s.events[:0]
+	for _, a := range s.actions {
+		s.route(a)
 	}
 }
 
-func (s *Server) happened(e decide.Event) { s.events = append(s.events, e) }
+// happened has the next step deal with e. Before there is a controller nothing can happen to it.
+func (s *Server) happened(e decide.Event) {
+	if s.ctl != nil {
+		s.events = append(s.events, e)
+	}
+}
 
 // PrintStats logs the counters.
 func (s *Server) PrintStats() { s.post(s.printStats) }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"falldeal/decide"
+	"falldeal/internal/agent"
 	"falldeal/internal/config"
 
 	"github.com/sirupsen/logrus/hooks/test"
@@ -45,6 +46,10 @@
 	do()
 	require.Equal(t, []any{Refused, Unhealthy}, p.got)
 	require.Empty(t, s.requests)
+	s.Drain()
+	do()
+	require.Empty(t, s.events) // they would keep the loop turning
+	require.Equal(t, []any{Refused, Unhealthy, "closing"}, p.got)
 }
 
 // A deep check asks the agent only where the controller leaves the answer open.
@@ -93,6 +98,7 @@
 	s, _ := idle(t)
 	s.sampled([]float64{0.5, 3, 0.25, 9, 7})
 	want := decide.Gauges{CoreUse: 0.5, OnCores: 3, Heap: 0.25, Links: 9}
+	s.greeted(agent.Notice{Kind: agent.Greeting, Result: agent.Steady})
 	timer := func() decide.Gauges {
 		s.events = nil
 		s.wake(s.clock.now)
