Answer a known key with another class or body with an error, not with its result

Only keyTable.take joined whatever carried a known key: it compared `once` and nothing else, so the result of the real order went to whoever had learned its key.

Change: an entry holds a digest of class and body; a try under its key that asks for something else is an error answer naming the field, is not entered and never reaches the controller.

The test is answered Served where Invalid is due without the change.

--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -9,7 +9,10 @@
 
 // Stage two, admit: a request that makes sense is put before the controller.
 
-var errNoOnce = errors.New("field once: missing in a class whose requests must run once")
+var (
+	errNoOnce     = errors.New("field once: missing in a class whose requests must run once")
+	errOtherOrder = errors.New("field once: known with another class or body")
+)
 
 func (s *Server) admit(p Peer, call uint32, t Try) {
 	class, known := s.classes[t.Class]
@@ -28,9 +31,13 @@
 		p.Answer(call, Answer{Kind: Refused})
 		return
 	}
-	s.lastID++
-	r := &request{id: s.lastID, try: t, class: class, peer: p, call: call}
+	r := &request{id: s.lastID + 1, try: t, class: class, peer: p, call: call}
 	r.window = s.cfg.Settings.Classes[class].KeyWindow
+	if keyed && s.keys.conflicts(r) {
+		s.invalid(p, call, errOtherOrder)
+		return
+	}
+	s.lastID = r.id
 	s.requests[r.id], s.byWire[t.ID], s.peers[p].open[call] = r, r, r
 	at := s.clock.own(t.At)
 	e := decide.Event{Kind: decide.Request, ID: r.id, Class: class, Caller: t.Caller, MemoryKB: t.KB,
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"hash/maphash"
 	"time"
 
 	"falldeal/decide"
@@ -18,6 +19,7 @@
 // keyEntry is what is known of one request with an effect.
 type keyEntry struct {
 	once   string
+	digest uint64   // of what all its tries ask for
 	holder *request // the try that has the entry
 	ran    bool     // the holder was run
 	over   bool     // that run has ended
@@ -31,10 +33,37 @@
 	entries map[string]*keyEntry
 	of      map[*request]*keyEntry // of live requests
 	bytes   int
+	seed    maphash.Seed
 }
 
 func newKeyTable() keyTable {
-	return keyTable{entries: map[string]*keyEntry{}, of: map[*request]*keyEntry{}}
+	return keyTable{entries: map[string]*keyEntry{}, of: map[*request]*keyEntry{}, seed: maphash.MakeSeed()}
+}
+
+// digest stands for what t asks for. All tries of one request carry the same class and body.
+func (t *keyTable) digest(try Try) uint64 {
+	var h maphash.Hash
+	h.SetSeed(t.seed)
+	h.WriteString(try.Class)
+	h.WriteByte(0)
+	h.Write(try.Body)
+	return h.Sum64()
+}
+
+// conflicts reports whether the key of r is that of a known request which asks for something else. The
+// result of that one is nothing for the sender of r.
+func (t *keyTable) conflicts(r *request) bool {
+	e := t.known(r)
+	return e != nil && e.digest != t.digest(r.try)
+}
+
+// known returns the entry that r falls under, if there is one.
+func (t *keyTable) known(r *request) *keyEntry {
+	e := t.entries[r.try.Once]
+	if e != nil && e.ran && r.try.At > e.closes+keySlack {
+		return nil
+	}
+	return e
 }
 
 func (t *keyTable) size() int { return len(t.entries) }
@@ -42,14 +71,14 @@
 // take enters r, and returns the try that it repeats, or 0 for a first try. Tries that were taken in
 // together know each other too.
 func (t *keyTable) take(r *request) decide.RequestID {
-	if e := t.entries[r.try.Once]; e != nil {
-		if !e.ran || r.try.At <= e.closes+keySlack {
-			t.of[r] = e
-			return e.holder.id
-		}
-		t.drop(e)
+	if e := t.known(r); e != nil {
+		t.of[r] = e
+		return e.holder.id
+	}
+	if past := t.entries[r.try.Once]; past != nil {
+		t.drop(past)
 	}
-	t.hold(&keyEntry{once: r.try.Once}, r)
+	t.hold(&keyEntry{once: r.try.Once, digest: t.digest(r.try)}, r)
 	return 0
 }
 
--- a/internal/server/keys_test.go
+++ b/internal/server/keys_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"falldeal/decide"
+	"falldeal/internal/agent"
 
 	"github.com/stretchr/testify/require"
 )
@@ -77,3 +78,30 @@
 	require.False(t, ok)
 	require.False(t, keys.mayRun(b))
 }
+
+// Whoever learns the key of a request must not get its result, nor a run under that key, by sending
+// something else with it.
+func TestKeyWithAnotherBody(t *testing.T) {
+	s, do := idle(t)
+	s.greeted(agent.Notice{Kind: agent.Greeting, Result: agent.Steady})
+	p := &peer{}
+	s.Opened(p)
+	submit := func(call uint32, body string) {
+		s.Submit(p, call, Try{ID: string(rune('a' + call)), Once: "k", Class: "licence-order", At: s.clock.now,
+			Wait: time.Second, KB: 1, Body: []byte(body)})
+		do()
+	}
+	submit(1, "order")
+	submit(2, "another")
+	require.Equal(t, []any{Invalid}, p.got)
+	s.step()
+	r := s.byWire["b"]
+	require.True(t, r.running)
+	s.finish(r, decide.OK, []byte("result"))
+	submit(1, "another")
+	require.Equal(t, []any{Invalid, Served, Invalid}, p.got)
+	submit(1, "order")
+	s.step()
+	require.Equal(t, []any{Invalid, Served, Invalid, Served}, p.got)
+	require.EqualValues(t, 1, s.stats.Runs)
+}
