Take over new addresses of agent, store and announce on SIGHUP

Cause: nothing took SIGHUP, so the runtime's default ended the process (129 = 128 + SIGHUP). The links kept the address of the start in a field that nothing could change, so a mere signal handler would have lost agent, store and listing 1.5 s later, when the old connections close.

Change: serve reads the file named at the start again through internal/config and hands it to the loop. The agent link dials the new address while the old one serves, subscribes there from the last notice read and sends again what is not known to have been read; an old link may go on for 1.5 s. New calls go to the store's new address, and those under way end where they are. A dial that ends at an old address proves nothing and is repeated at the new one. Announcements go to the new address at once. A bad file is logged with its key and changes nothing. Reloads and links opened are counted.

--- a/cmd/falldeal/main.go
+++ b/cmd/falldeal/main.go
@@ -34,7 +34,8 @@
 const usage = `Usage: falldeal COMMAND [flags]
 
 Commands:
-  serve     serve front ends until SIGTERM; SIGUSR1 prints the counters
+  serve     serve front ends until SIGTERM; SIGUSR1 prints the counters, SIGHUP has the
+            addresses of agent, store and announce read again
   check     read the configuration, say what is wrong with it, and exit
   version   print the version
 
@@ -84,7 +85,7 @@
 		}
 		log := logrus.New()
 		log.SetLevel(lvl)
-		return serve(c, log)
+		return serve(c, *path, log)
 	default:
 		flags.Usage()
 		return fmt.Errorf("unknown command %q", name)
@@ -93,11 +94,11 @@
 
 // serve runs the server until a drain is over. Whatever then still hangs on a socket does not keep
 // the process past its time.
-func serve(c *config.Config, log *logrus.Logger) error {
+func serve(c *config.Config, path string, log *logrus.Logger) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Limits.Cores)), 1))
 	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB<<20)))
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	front, err := msgpackrpc.Listen(c.Listen, c.Limits.FrontSockets(), logging.NewLimiter(log))
 	if err != nil {
 		return err
@@ -111,14 +112,17 @@
 	for {
 		select {
 		case sig := <-signals:
-			if sig == syscall.SIGUSR1 {
+			switch sig {
+			case syscall.SIGUSR1:
 				s.PrintStats()
-				continue
+			case syscall.SIGHUP:
+				s.Reload(config.Load(path))
+			default:
+				if late == nil {
+					late = time.After(max(c.Stop-exitSpare, 0))
+				}
+				s.Drain()
 			}
-			if late == nil {
-				late = time.After(max(c.Stop-exitSpare, 0))
-			}
-			s.Drain()
 		case err := <-over:
 			return err
 		case <-late:
--- a/cmd/falldeal/main_test.go
+++ b/cmd/falldeal/main_test.go
@@ -2,11 +2,19 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
+	"falldeal/internal/config"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 )
 
@@ -45,3 +53,65 @@
 		require.ErrorContains(t, command(strings.Fields(c.args), &out), c.want, c.args)
 	}
 }
+
+// SIGHUP has the file read again: the link moves to the agent's new address. A file that makes no sense
+// is logged with its key and changes nothing, and neither ends the process; SIGTERM does.
+func TestReload(t *testing.T) {
+	text, err := os.ReadFile(sample)
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	agents := make([]net.Listener, 3)
+	write := func(addr string) {
+		require.NoError(t, os.WriteFile(path, []byte(strings.NewReplacer("127.0.0.1:4400", addr,
+			":5050", ":0", `"stop_ms": 3200`, `"stop_ms": 100`).Replace(string(text))), 0o600))
+	}
+	for i := range agents {
+		agents[i], err = net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer agents[i].Close()
+	}
+	t.Setenv("GW_CONFIG", path)
+	t.Setenv("GW_LISTEN", "")
+	t.Setenv("GW_NAME", "")
+	write(agents[0].Addr().String())
+	c, err := config.Load("")
+	require.NoError(t, err)
+	log, _ := test.NewNullLogger()
+	failed := make(chan string, 1)
+	log.AddHook(onError(failed))
+	over := make(chan error, 1)
+	go func() { over <- serve(c, "", log) }()
+	accept := func(i int) {
+		nc, err := agents[i].Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { nc.Close() })
+	}
+	accept(0) // signals are taken by then
+	write(agents[1].Addr().String())
+	hangUp := func() { require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP)) }
+	hangUp()
+	accept(1)
+	write("nowhere")
+	hangUp()
+	require.Contains(t, <-failed, "agent")
+	write(agents[2].Addr().String())
+	hangUp()
+	accept(2)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	select {
+	case err := <-over:
+		require.NoError(t, err)
+	case <-time.After(30 * time.Second):
+		t.Fatal("serve does not end")
+	}
+}
+
+// onError hands over what was wrong with a configuration.
+type onError chan string
+
+func (onError) Levels() []logrus.Level { return []logrus.Level{logrus.ErrorLevel} }
+
+func (h onError) Fire(e *logrus.Entry) error {
+	h <- fmt.Sprint(e.Data[logrus.ErrorKey])
+	return nil
+}
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -23,6 +23,9 @@
 	dialTimeout  = 2 * time.Second
 	backoffLeast = 10 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
+
+	// Finish is how long a link may go on after the agent has moved to another address.
+	Finish = 1500 * time.Millisecond
 )
 
 // command is kept until the agent is known to have read it.
@@ -34,11 +37,13 @@
 
 // Link is the link to the agent. Its methods are called from the loop that post hands functions to.
 type Link struct {
-	addr   string
+	moves  chan string  // the address in force, for Run
 	post   func(func()) // hands a function to the loop
 	notice func(Notice)
 	log    *logging.Limiter
 
+	addr   string // in force
+	opens  uint64 // links opened so far
 	cur    *outbox.Outbox
 	synced bool      // commands may be written
 	last   int64     // offset of the last notice read
@@ -48,41 +53,77 @@
 
 // New returns a Link that hands each new notice to the function notice, within the loop.
 func New(addr string, post func(func()), notice func(Notice), log *logging.Limiter) *Link {
-	return &Link{addr: addr, post: post, notice: notice, log: log}
+	l := &Link{moves: make(chan string, 1), post: post, notice: notice, log: log}
+	l.Move(addr)
+	return l
+}
+
+// Move has the link opened at another address. The present one is used until that has been done.
+func (l *Link) Move(addr string) {
+	if addr == l.addr {
+		return
+	}
+	l.addr = addr
+	select {
+	case <-l.moves: // not followed yet, and out of date
+	default:
+	}
+	l.moves <- addr
 }
 
-// Run keeps the link open until ctx ends.
+// Opens is how many links have been opened.
+func (l *Link) Opens() uint64 { return l.opens }
+
+// Run keeps a link open at the address in force until ctx ends.
 func (l *Link) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	leave := func() {} // the address in force so far
+	defer func() { leave() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case addr := <-l.moves:
+			leave()
+			stay, stop := context.WithCancel(ctx)
+			leave = stop
+			g.Go(func() error { l.keep(ctx, stay, addr); return nil })
+		}
+	}
+}
+
+// keep opens links to addr, one after the other, for as long as stay lasts.
+func (l *Link) keep(ctx, stay context.Context, addr string) {
 	wait := backoffLeast
-	for ctx.Err() == nil {
+	for stay.Err() == nil {
 		began := time.Now()
-		if err := l.serve(ctx); err != nil && ctx.Err() == nil {
+		if err := l.serve(ctx, stay, addr); err != nil && stay.Err() == nil {
 			l.log.Warn("agent", "link to the agent broke; opening it again", err)
 		}
 		if time.Since(began) > backoffMost {
 			wait = backoffLeast
 		}
 		select {
-		case <-ctx.Done():
+		case <-stay.Done():
 		case <-time.After(wait):
 		}
 		wait = min(2*wait, backoffMost)
 	}
-	return nil
 }
 
-// serve runs one link from its dial to its end.
-func (l *Link) serve(ctx context.Context) error {
+// serve runs one link from its dial to its end, which comes soon after that of stay.
+func (l *Link) serve(ctx, stay context.Context, addr string) error {
 	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", l.addr)
+	nc, err := d.DialContext(stay, "tcp", addr)
 	if err != nil {
 		return err
 	}
 	w := outbox.New(nc, outRoom)
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, w.Close)()
+	defer context.AfterFunc(stay, func() { _ = nc.SetReadDeadline(time.Now().Add(Finish)) })()
 	g.Go(w.Run)
-	l.post(func() { l.opened(w) })
+	l.post(func() { l.opened(addr, w) })
 	g.Go(func() error { return l.read(nc, w) })
 	err = g.Wait()
 	l.post(func() { l.closed(w) })
@@ -105,7 +146,15 @@
 	}
 }
 
-func (l *Link) opened(w *outbox.Outbox) {
+func (l *Link) opened(addr string, w *outbox.Outbox) {
+	if addr != l.addr {
+		w.Close() // the agent has moved meanwhile
+		return
+	}
+	if l.cur != nil {
+		l.cur.Close() // after what it has still to write
+	}
+	l.opens++
 	l.cur, l.synced = w, false
 	w.Send(subscribe(l.last))
 }
--- a/internal/agent/link_test.go
+++ b/internal/agent/link_test.go
@@ -13,6 +13,66 @@
 	"github.com/stretchr/testify/require"
 )
 
+// A moved agent is reached at its new address while the old link still serves; runs go on over the new
+// one from the last notice read, and what was on its way is sent again.
+func TestMove(t *testing.T) {
+	in := make(chan func(), 10)
+	var seen []string
+	log, _ := test.NewNullLogger()
+	var lns [2]net.Listener
+	for i := range lns {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer ln.Close()
+		lns[i] = ln
+	}
+	l := New(lns[0].Addr().String(), func(f func()) { in <- f }, func(n Notice) { seen = append(seen, string(n.Kind)+n.Req) },
+		logging.NewLimiter(log))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = l.Run(ctx) }()
+	turn := func() { (<-in)() }
+	var conns [2]net.Conn
+	var lines [2]*bufio.Scanner
+	accept := func(i int) {
+		nc, err := lns[i].Accept()
+		require.NoError(t, err)
+		conns[i], lines[i] = nc, bufio.NewScanner(nc)
+	}
+	expect := func(i int, want string) {
+		t.Helper()
+		require.True(t, lines[i].Scan())
+		require.Equal(t, want, lines[i].Text())
+	}
+	tell := func(i int, line string) {
+		fmt.Fprintln(conns[i], line)
+		turn()
+	}
+	accept(0)
+	turn()
+	expect(0, `{"cmd":"subscribe","offset":0}`)
+	tell(0, `{"cmd":"greeting","result":"steady","elapsed_ms":1}`)
+	expect(0, `{"cmd":"sample","token":"1"}`)
+	tell(0, `{"cmd":"sampled","token":"1","load":[]}`)
+	l.Move(lns[1].Addr().String())
+	l.Launch("a", "preview", nil)
+	expect(0, `{"cmd":"launch","req":"a","method":"preview","payload":""}`) // the old link serves until the new one is open
+	tell(0, `{"cmd":"aside","offset":1}`)
+
+	accept(1)
+	turn()
+	require.False(t, lines[0].Scan()) // the old one is closed
+	turn()
+	expect(1, `{"cmd":"subscribe","offset":1}`)
+	tell(1, `{"cmd":"greeting","result":"steady","elapsed_ms":9}`)
+	expect(1, `{"cmd":"sample","token":"3"}`)
+	tell(1, `{"cmd":"sampled","token":"3","load":[]}`)
+	expect(1, `{"cmd":"launch","req":"a","method":"preview","payload":""}`)
+	tell(1, `{"cmd":"outcome","offset":2,"req":"a","result":"success"}`)
+	require.Equal(t, []string{"greeting", "sampled", "aside", "greeting", "sampled", "outcomea"}, seen)
+	require.EqualValues(t, 2, l.Opens())
+}
+
 // A broken link loses neither commands nor notices: what the agent has not been seen to read is sent
 // again, but only once the missed notices are in; notices that were seen are dropped.
 func TestReconnect(t *testing.T) {
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -14,49 +14,75 @@
 
 // Announcer sends reports on its own, from the first Set on.
 type Announcer struct {
-	addr, name string
-	log        *logging.Limiter
-	state      chan bool
+	name    string
+	log     *logging.Limiter
+	known   bool // now holds something to report
+	now     report
+	reports chan report
+}
+
+// report is what is reported, and where.
+type report struct {
+	addr      string
+	accepting bool
 }
 
 // New returns an Announcer of the image server called name.
 func New(addr, name string, log *logging.Limiter) *Announcer {
-	return &Announcer{addr: addr, name: name, log: log, state: make(chan bool, 1)}
+	return &Announcer{name: name, log: log, now: report{addr: addr}, reports: make(chan report, 1)}
 }
 
-// Set changes what is reported, at once. It never blocks; one goroutine may call it.
+// Set changes what is reported, at once. It never blocks; one goroutine may call it and Move.
 func (a *Announcer) Set(accepting bool) {
+	a.known, a.now.accepting = true, accepting
+	a.tell()
+}
+
+// Move changes where that is reported.
+func (a *Announcer) Move(addr string) {
+	a.now.addr = addr
+	if a.known {
+		a.tell()
+	}
+}
+
+func (a *Announcer) tell() {
 	select {
-	case <-a.state: // not reported yet, and out of date
+	case <-a.reports: // not sent yet, and out of date
 	default:
 	}
-	a.state <- accepting
+	a.reports <- a.now
 }
 
 // Run reports until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
-	var accepting, known bool
+	var now report
 	var conn net.Conn
-	defer func() {
+	hangUp := func() {
 		if conn != nil {
 			conn.Close()
+			conn = nil
 		}
-	}()
+	}
+	defer hangUp()
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case accepting = <-a.state:
-			known = true
+		case next := <-a.reports:
+			if next.addr != now.addr {
+				hangUp()
+			}
+			now = next
 		case <-tick.C:
 		}
-		if !known {
-			continue
+		if now.addr == "" {
+			continue // nothing to report yet
 		}
 		if conn == nil {
-			c, err := net.Dial("udp", a.addr)
+			c, err := net.Dial("udp", now.addr)
 			if err != nil {
 				a.log.Warn("announce", "no socket to the announce service", err)
 				continue
@@ -64,7 +90,7 @@
 			conn = c
 		}
 		// An error here tells of an earlier report that found nobody there. The next one may.
-		if _, err := fmt.Fprintf(conn, "announce %s %t", a.name, accepting); err != nil {
+		if _, err := fmt.Fprintf(conn, "announce %s %t", a.name, now.accepting); err != nil {
 			a.log.Warn("announce", "report not sent", err)
 		}
 	}
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -34,6 +34,14 @@
 	for next() != "announce n3 false" {
 	}
 	require.Equal(t, "announce n3 false", next())
+	old := service
+	service, err = net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer service.Close()
+	a.Move(service.LocalAddr().String()) // what was said holds there too
+	require.NoError(t, old.Close())
+	require.Equal(t, "announce n3 false", next())
+	require.Equal(t, "announce n3 false", next())
 	cancel()
 	require.NoError(t, <-over)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -172,6 +172,24 @@
 	}
 }
 
+// Reload takes over what a new configuration says of where the peers are; err says why there is none,
+// and then all stays as it is. Runs go on either way.
+func (s *Server) Reload(c *config.Config, err error) {
+	s.post(func() {
+		if err != nil {
+			s.stats.ReloadsFailed++
+			s.log.WithError(err).Error("configuration not taken over; the one in force stays")
+			return
+		}
+		s.stats.Reloads++
+		s.log.WithFields(logrus.Fields{"agent": c.Agent, "store": c.Store, "announce": c.Announce}).
+			Info("addresses of the peers taken over; other keys count from the next start")
+		s.agent.Move(c.Agent)
+		s.store.Move(c.Store)
+		s.announcer.Move(c.Announce)
+	})
+}
+
 // PrintStats logs the counters.
 func (s *Server) PrintStats() { s.post(s.printStats) }
 
@@ -182,5 +200,6 @@
 			running++
 		}
 	}
+	s.stats.AgentLinks, s.stats.StoreLinks = s.agent.Opens(), s.store.Opens()
 	s.stats.Print(s.log, len(s.requests), running, s.keys.size(), len(s.peers))
 }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -14,7 +14,10 @@
 	RunsFailed, RunsInterrupted, RunsMoot, CommandsRefused                    uint64 // what the agent told
 	CallsOK, CallsBusy, CallsFailed, CallsLate, CallsUnreachable, CallsBroken uint64 // how calls ended
 
-	Turns uint64 // of the loop
+	AgentLinks, StoreLinks uint64 // links opened to the agent, connections to the store
+
+	Reloads, ReloadsFailed uint64 // of the configuration
+	Turns                  uint64 // of the loop
 }
 
 // Print logs all counters and what is in hand.
@@ -28,6 +31,8 @@
 		"commands_refused": c.CommandsRefused,
 		"calls_ok":         c.CallsOK, "calls_busy": c.CallsBusy, "calls_failed": c.CallsFailed, "calls_late": c.CallsLate,
 		"calls_unreachable": c.CallsUnreachable, "calls_broken": c.CallsBroken,
+		"agent_links": c.AgentLinks, "store_links": c.StoreLinks,
+		"reloads": c.Reloads, "reloads_failed": c.ReloadsFailed,
 		"turns": c.Turns, "now_open": open, "now_running": running, "now_keys": keys, "now_connections": peers,
 	}).Info("counters")
 }
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -20,6 +20,9 @@
 	idleClose    = 8 * time.Second // before the store closes: its close might cross a call
 	backoffLeast = 10 * time.Millisecond
 	backoffMost  = 200 * time.Millisecond
+
+	// Finish is how long a connection may go on after the store has moved to another address.
+	Finish = 1500 * time.Millisecond
 )
 
 // Loop is what a Link needs of the loop that owns it.
@@ -36,15 +39,21 @@
 	loop  Loop
 	reply func(id string, r Reply, body []byte)
 	log   *logging.Limiter
-	dials chan time.Duration // asks Run to dial, after that time
+	dials chan dial // asks Run to dial
 
 	cur     *outbox.Outbox // nil while there is no connection
+	opens   uint64         // connections opened so far
 	dialing bool
 	backoff time.Duration
 	calls   map[string]*call
 	idle    *deadline.Entry
 }
 
+type dial struct {
+	addr string
+	wait time.Duration // before that
+}
+
 type call struct {
 	body  []byte
 	until time.Duration
@@ -54,7 +63,7 @@
 
 // New returns a Link that reports the end of each call with reply, within the loop.
 func New(addr string, loop Loop, reply func(id string, r Reply, body []byte), log *logging.Limiter) *Link {
-	return &Link{addr: addr, loop: loop, reply: reply, log: log, dials: make(chan time.Duration, 1),
+	return &Link{addr: addr, loop: loop, reply: reply, log: log, dials: make(chan dial, 1),
 		calls: map[string]*call{}}
 }
 
@@ -66,20 +75,20 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case wait := <-l.dials:
+			case to := <-l.dials:
 				select {
 				case <-ctx.Done():
 					return nil
-				case <-time.After(wait):
+				case <-time.After(to.wait):
 				}
 				d := net.Dialer{Timeout: dialTimeout}
-				nc, err := d.DialContext(ctx, "tcp", l.addr)
+				nc, err := d.DialContext(ctx, "tcp", to.addr)
 				if err != nil {
-					l.loop.Post(func() { l.refused(err) })
+					l.loop.Post(func() { l.refused(to.addr, err) })
 					continue
 				}
 				w := outbox.New(nc, outRoom)
-				l.loop.Post(func() { l.opened(w) })
+				l.loop.Post(func() { l.opened(to.addr, w) })
 				g.Go(func() error { l.serve(ctx, nc, w); return nil })
 			}
 		}
@@ -132,7 +141,7 @@
 func (l *Link) dial() {
 	if !l.dialing {
 		l.dialing = true
-		l.dials <- l.backoff // has room: one dial at a time
+		l.dials <- dial{l.addr, l.backoff} // has room: one dial at a time
 	}
 }
 
@@ -142,8 +151,8 @@
 	if c == nil {
 		return false
 	}
-	if c.on != nil && c.on == l.cur {
-		l.cur.Send(appendDrop(nil, id))
+	if c.on != nil {
+		c.on.Send(appendDrop(nil, id))
 	}
 	l.end(id, c)
 	return true
@@ -164,7 +173,40 @@
 	}
 }
 
-func (l *Link) opened(w *outbox.Outbox) {
+// Move has new calls made at another address. Those under way may end where they are.
+func (l *Link) Move(addr string) {
+	if addr == l.addr {
+		return
+	}
+	l.addr = addr
+	if w := l.cur; w != nil {
+		l.cur = nil
+		l.loop.Deadlines.Add(l.loop.Now()+Finish, w.Close)
+	}
+}
+
+// Opens is how many connections have been opened.
+func (l *Link) Opens() uint64 { return l.opens }
+
+// outdated deals with the end of a dial to an address that is not in force any more: calls that wait
+// for it go to the one that is.
+func (l *Link) outdated(addr string) bool {
+	if addr == l.addr {
+		return false
+	}
+	l.dialing, l.backoff = false, 0
+	if len(l.calls) > 0 && l.cur == nil {
+		l.dial()
+	}
+	return true
+}
+
+func (l *Link) opened(addr string, w *outbox.Outbox) {
+	if l.outdated(addr) {
+		w.Close()
+		return
+	}
+	l.opens++
 	l.cur, l.dialing, l.backoff = w, false, 0
 	for id, c := range l.calls {
 		if c.on == nil {
@@ -173,7 +215,10 @@
 	}
 }
 
-func (l *Link) refused(err error) {
+func (l *Link) refused(addr string, err error) {
+	if l.outdated(addr) {
+		return
+	}
 	l.dialing = false
 	l.backoff = min(max(2*l.backoff, backoffLeast), backoffMost)
 	l.log.Warn("store", "no connection to the store", err)
--- a/internal/store/link_test.go
+++ b/internal/store/link_test.go
@@ -66,6 +66,48 @@
 	require.Equal(t, []string{fmt.Sprintf("ab %d ", Broken), fmt.Sprintf("cd %d ", Refused)}, l.ends)
 }
 
+// After the store has moved, new calls go to its new address, and one under way ends on the connection
+// that it was made on, if that is soon.
+func TestMove(t *testing.T) {
+	old, next := listen(t), listen(t)
+	l := newLoop(t, old.Addr().String())
+	l.link.Call("ab", time.Hour, nil)
+	l.link.Call("cd", time.Hour, nil)
+	was, err := old.Accept()
+	require.NoError(t, err)
+	l.turn()
+	l.link.Move(next.Addr().String())
+	l.link.Call("ef", time.Hour, nil)
+	is, err := next.Accept()
+	require.NoError(t, err)
+	l.turn()
+	line, err := bufio.NewReader(is).ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "CALL ef 3600000 0\r\n", line)
+	fmt.Fprint(was, "ab OK 1\r\nx\r\n")
+	l.turn()
+	l.now = Finish
+	l.due.Sweep(l.now)
+	l.turn() // the old connection has ended
+	require.Equal(t, []string{fmt.Sprintf("ab %d x", OK), fmt.Sprintf("cd %d ", Broken)}, l.ends)
+	require.EqualValues(t, 2, l.link.Opens())
+}
+
+// A dial to where the store no longer is proves nothing about the calls that wait for it.
+func TestMoveDuringDial(t *testing.T) {
+	old, next := listen(t), listen(t)
+	old.Close()
+	l := newLoop(t, old.Addr().String())
+	l.link.Call("ab", time.Hour, nil)
+	l.link.Move(next.Addr().String())
+	l.turn()
+	require.Empty(t, l.ends)
+	_, err := next.Accept()
+	require.NoError(t, err)
+	l.turn()
+	require.EqualValues(t, 1, l.link.Opens())
+}
+
 // A call whose time is up is dropped at the store, a reply that crosses that is not taken for
 // another's, and a connection that is idle is closed before the store's own close can cross a call.
 func TestExpiryAndIdle(t *testing.T) {
