Keep keys for their window and no longer; take in plausible times only

Checked with a heap profile at 50 s (not committed): connections are level from the first quarter on (176 to 183, about 2 MB of buffers), the controller's queues and entries are small; what grows are results of runs (the most), bodies and request records. Lines at fault: keyLinger kept every entry 30 s past its 17.5 s window, so that the table grew for 47 s, and the entry held its request and body.

Change: an entry names its holder and does not hold it, a body goes once the link has it, and an entry stays for as long as a try of its window can still be taken in. That is now bounded: a time of arrival longer ago than a caller can wait (deadline and 1 s) or ahead of the clock by over 1 s is an error answer naming the field, as is a wait over the deadline. Unbounded, such a time also let anyone open the window of a key anew, or have the controller take the server for hours behind in reading and answer health checks badly. Results kept for reuse are bounded by the memory limit, not by 16 MB.

--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"falldeal/decide"
 )
@@ -10,10 +11,24 @@
 // Stage two, admit: a request that makes sense is put before the controller.
 
 var (
+	errAt         = errors.New("field at: not a time of late")
+	errWait       = errors.New("field wait: longer than the deadline of the class")
 	errNoOnce     = errors.New("field once: missing in a class whose requests must run once")
 	errOtherOrder = errors.New("field once: known with another class or body")
 )
 
+// earlyMost and lateSpare bound what time a request may give as that of its arrival: a little ahead of
+// this clock, and behind it for as long as a caller waits and a machine may stand still. The controller
+// takes the difference for time spent unread, and keys are kept by it.
+const (
+	earlyMost = time.Second
+	lateSpare = time.Second
+)
+
+func (s *Server) lateMost(class int) time.Duration {
+	return s.cfg.Settings.Classes[class].Deadline + lateSpare
+}
+
 func (s *Server) admit(p Peer, call uint32, t Try) {
 	class, known := s.classes[t.Class]
 	if !known {
@@ -25,6 +40,15 @@
 		s.invalid(p, call, errNoOnce)
 		return
 	}
+	at := s.clock.own(t.At)
+	if at > s.clock.now+earlyMost || at < s.clock.now-s.lateMost(class) {
+		s.invalid(p, call, errAt)
+		return
+	}
+	if t.Wait > s.cfg.Settings.Classes[class].Deadline {
+		s.invalid(p, call, errWait)
+		return
+	}
 	if s.ctl == nil {
 		// The agent is not up, so nothing can be run. No request is sent here before it is.
 		s.stats.Refused++
@@ -39,7 +63,6 @@
 	}
 	s.lastID = r.id
 	s.requests[r.id], s.byWire[t.ID], s.peers[p].open[call] = r, r, r
-	at := s.clock.own(t.At)
 	e := decide.Event{Kind: decide.Request, ID: r.id, Class: class, Caller: t.Caller, MemoryKB: t.KB,
 		Hint: t.Cost, HasKey: t.Key != "", Rank: t.Rank, Due: at + t.Wait, Waited: max(s.clock.now-at, 0)}
 	if keyed {
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -119,6 +119,8 @@
 	delete(s.requests, r.id)
 	delete(s.byWire, r.try.ID)
 	if e := s.keys.left(r); e != nil {
-		s.deadlines.Add(s.clock.own(e.closes)+keyLinger, func() { s.keys.drop(e) })
+		// Tries of the window are taken in for as long as their time is plausible.
+		linger := s.lateMost(r.class) + keySlack
+		s.deadlines.Add(s.clock.own(e.closes)+linger, func() { s.keys.drop(e) })
 	}
 }
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -11,19 +11,18 @@
 // often it comes; its result answers the others.
 
 const (
-	keySlack  = 50 * time.Millisecond // a try was written a little after its own time
-	keyLinger = 30 * time.Second      // tries of the window may be read late; longer than any caller waits
-	keyBytes  = 16 << 20              // results kept for reuse, over all keys
+	keySlack = 50 * time.Millisecond // a try was written a little after its own time
+	keyShare = 8                     // one byte in this many of the memory limit may hold results for reuse
 )
 
 // keyEntry is what is known of one request with an effect.
 type keyEntry struct {
 	once   string
-	digest uint64   // of what all its tries ask for
-	holder *request // the try that has the entry
-	ran    bool     // the holder was run
-	over   bool     // that run has ended
-	ok     bool     // and its result is kept
+	digest uint64           // of what all its tries ask for
+	holder decide.RequestID // the try that has the entry
+	ran    bool             // the holder was run
+	over   bool             // that run has ended
+	ok     bool             // and its result is kept
 	result []byte
 	waits  []*request    // for that end
 	closes time.Duration // end of the window, on the Unix clock
@@ -32,12 +31,15 @@
 type keyTable struct {
 	entries map[string]*keyEntry
 	of      map[*request]*keyEntry // of live requests
-	bytes   int
+	bytes   int                    // of results
+	most    int                    // such bytes
 	seed    maphash.Seed
 }
 
-func newKeyTable() keyTable {
-	return keyTable{entries: map[string]*keyEntry{}, of: map[*request]*keyEntry{}, seed: maphash.MakeSeed()}
+// newKeyTable returns a table for a process that may take so much memory.
+func newKeyTable(memoryMB int) keyTable {
+	return keyTable{entries: map[string]*keyEntry{}, of: map[*request]*keyEntry{}, most: memoryMB << 20 / keyShare,
+		seed: maphash.MakeSeed()}
 }
 
 // digest stands for what t asks for. All tries of one request carry the same class and body.
@@ -73,7 +75,7 @@
 func (t *keyTable) take(r *request) decide.RequestID {
 	if e := t.known(r); e != nil {
 		t.of[r] = e
-		return e.holder.id
+		return e.holder
 	}
 	if past := t.entries[r.try.Once]; past != nil {
 		t.drop(past)
@@ -84,7 +86,7 @@
 
 // hold gives r the entry.
 func (t *keyTable) hold(e *keyEntry, r *request) {
-	e.holder, e.closes = r, r.try.At+r.window
+	e.holder, e.closes = r.id, r.try.At+r.window
 	t.entries[e.once], t.of[r] = e, e
 }
 
@@ -125,7 +127,7 @@
 // ended notes how the run of r ended, and returns the tries that waited for it.
 func (t *keyTable) ended(r *request, o decide.Outcome, result []byte) []*request {
 	e := t.of[r]
-	if e == nil || e.holder != r || !e.ran {
+	if e == nil || e.holder != r.id || !e.ran {
 		return nil
 	}
 	waits := e.waits
@@ -135,7 +137,7 @@
 		return waits
 	}
 	e.over = true
-	if e.ok = o == decide.OK && t.bytes+len(result) <= keyBytes; e.ok {
+	if e.ok = o == decide.OK && t.bytes+len(result) <= t.most; e.ok {
 		e.result = result
 		t.bytes += len(result)
 	}
@@ -147,7 +149,7 @@
 func (t *keyTable) left(r *request) *keyEntry {
 	e := t.of[r]
 	delete(t.of, r)
-	if e == nil || e.holder != r {
+	if e == nil || e.holder != r.id {
 		return nil
 	}
 	if !e.ran {
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -21,6 +21,7 @@
 	r.running, r.began = true, s.clock.now
 	s.keys.ran(r)
 	s.agent.Launch(r.try.ID, r.try.Class, r.try.Body)
+	r.try.Body = nil // the link has it for as long as it is needed
 }
 
 // skip lets a run go on without the call that it waits for.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -80,7 +80,7 @@
 	s := &Server{cfg: cfg, log: log, warn: logging.NewLimiter(log), in: make(chan func(), inRoom),
 		ended: make(chan struct{}), clock: clock{read: time.Now}, deadlines: deadline.New(),
 		classes: map[string]int{}, requests: map[decide.RequestID]*request{}, byWire: map[string]*request{},
-		keys: newKeyTable(), peers: map[Peer]*peerState{}, exercises: map[string]probe{}, idle: cfg.Settings.IdleAfter,
+		keys: newKeyTable(cfg.Limits.MemoryMB), peers: map[Peer]*peerState{}, exercises: map[string]probe{}, idle: cfg.Settings.IdleAfter,
 		gauges: unknownGauges}
 	for i, name := range cfg.Classes {
 		s.classes[name] = i
