Make each call to the store on a connection of its own

Checked: it is not the load. CPU is far from its limit, memory 8 of 128 MB, and the agents have room. The store's silent replies are what hurts: after one, its connection answers nothing more, and Link had one connection for all calls (Link.cur), which stayed in use until it was idle. Every later call on it waited for its whole time and failed, at 1,000 calls a second. A reply that can't be read likewise ended the connection under all other calls as "may have had its effect".

Change: a connection carries one call at a time. A call given up takes its connection with it. A connection is used again when that is soon (0.5 s; an idle one may be forgotten by the store), never after it brought an unasked reply, and never for the same request's next call, for which a second copy of the last reply would pass. Connections are bounded by an eighth of the descriptors, further calls wait in order; a dial to an address that is no longer in force is repeated. The outbox gave each connection a buffer of 8 KiB; it now joins messages only where several wait.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,12 +38,18 @@
 	Sockets  int // file descriptors
 }
 
-// frontShare: front ends may take one descriptor in this many.
-const frontShare = 2
+// Front ends may take one descriptor in frontShare, calls to the store one in storeShare.
+const (
+	frontShare = 2
+	storeShare = 8
+)
 
 // FrontSockets is how many connections front ends may have open.
 func (l Limits) FrontSockets() int { return l.Sockets / frontShare }
 
+// StoreSockets is how many connections to the store may be open.
+func (l Limits) StoreSockets() int { return l.Sockets / storeShare }
+
 // Config is what an image server is told at its start.
 type Config struct {
 	Name     string // under which the announce service lists it
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -2,13 +2,15 @@
 package outbox
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
 )
 
-const writeTimeout = 20 * time.Second // a peer's machine may stand still for a while
+const (
+	writeTimeout = 20 * time.Second // a peer's machine may stand still for a while
+	batch        = 8 << 10          // bytes from which on no further message joins a write
+)
 
 // Outbox is the writing side of a connection.
 type Outbox struct {
@@ -39,16 +41,15 @@
 // connection is closed when it returns.
 func (o *Outbox) Run() error {
 	defer o.conn.Close()
-	w := bufio.NewWriterSize(o.conn, 8<<10)
 	for {
 		select {
 		case b := <-o.queue:
-			if err := o.write(w, b); err != nil {
+			if err := o.write(b); err != nil {
 				return err
 			}
 		case <-o.stop:
 			for len(o.queue) > 0 {
-				if err := o.write(w, <-o.queue); err != nil {
+				if err := o.write(<-o.queue); err != nil {
 					return err
 				}
 			}
@@ -57,13 +58,15 @@
 	}
 }
 
-// write flushes once nothing more waits.
-func (o *Outbox) write(w *bufio.Writer, b []byte) error {
-	if err := o.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+// write writes b and what waits behind it. Most connections write little and seldom, so none has a
+// buffer of its own.
+func (o *Outbox) write(b []byte) error {
+	for len(o.queue) > 0 && len(b) < batch {
+		b = append(b[:len(b):len(b)], <-o.queue...)
 	}
-	if _, err := w.Write(b); err != nil || len(o.queue) > 0 {
+	if err := o.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	return w.Flush()
+	_, err := o.conn.Write(b)
+	return err
 }
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -15,13 +15,14 @@
 )
 
 const (
-	outRoom      = 1024 // lines that wait to be written
+	outRoom      = 8 // lines that wait to be written on a connection
+	readRoom     = 4 << 10
 	dialTimeout  = 2 * time.Second
-	idleClose    = 8 * time.Second // before the store closes: its close might cross a call
+	reuseWithin  = 500 * time.Millisecond // a connection idle for longer may have been forgotten by the store
 	backoffLeast = 10 * time.Millisecond
 	backoffMost  = 200 * time.Millisecond
 
-	// Finish is how long a connection may go on after the store has moved to another address.
+	// Finish is how long a call may go on after the store has moved to another address.
 	Finish = 1500 * time.Millisecond
 )
 
@@ -32,21 +33,23 @@
 	Deadlines *deadline.Queue
 }
 
-// Link makes calls over one connection, which it opens when there is a call and closes when there
-// was none for some time. Its methods are called from the loop only.
+// Link makes calls, each on a connection that carries no other at the time: a reply that can't be read, or
+// none at all, then costs that call and no other. Connections are opened as calls need them, used again
+// while that is soon, and closed otherwise. Its methods are called from the loop only.
 type Link struct {
-	addr  string
+	addr  string // in force
 	loop  Loop
 	reply func(id string, r Reply, body []byte)
 	log   *logging.Limiter
-	dials chan dial // asks Run to dial
+	dials chan dial // asks Run to dial; has room for all that may be under way
 
-	cur     *outbox.Outbox // nil while there is no connection
-	opens   uint64         // connections opened so far
-	dialing bool
-	backoff time.Duration
 	calls   map[string]*call
-	idle    *deadline.Entry
+	waiting []*call // for a connection, in order; ended ones are passed over
+	conns   map[*outbox.Outbox]*conn
+	free    []*conn // the last used at the end
+	dialing int
+	opens   uint64 // connections opened so far
+	backoff time.Duration
 }
 
 type dial struct {
@@ -54,64 +57,73 @@
 	wait time.Duration // before that
 }
 
+// conn is one connection to the store.
+type conn struct {
+	*outbox.Outbox
+	addr string
+	call *call  // that it carries
+	last string // id of the one before that
+	idle *deadline.Entry
+}
+
 type call struct {
+	id    string
 	body  []byte
 	until time.Duration
-	on    *outbox.Outbox // that it was written to; nil while it waits for one
+	on    *conn // nil while it waits for one
 	end   *deadline.Entry
 }
 
-// New returns a Link that reports the end of each call with reply, within the loop.
-func New(addr string, loop Loop, reply func(id string, r Reply, body []byte), log *logging.Limiter) *Link {
-	return &Link{addr: addr, loop: loop, reply: reply, log: log, dials: make(chan dial, 1),
-		calls: map[string]*call{}}
+// New returns a Link over up to most connections that reports the end of each call with reply, within
+// the loop.
+func New(addr string, most int, loop Loop, reply func(id string, r Reply, body []byte), log *logging.Limiter) *Link {
+	return &Link{addr: addr, loop: loop, reply: reply, log: log, dials: make(chan dial, most),
+		calls: map[string]*call{}, conns: map[*outbox.Outbox]*conn{}}
 }
 
 // Run opens connections as calls need them, until ctx ends.
 func (l *Link) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case to := <-l.dials:
-				select {
-				case <-ctx.Done():
-					return nil
-				case <-time.After(to.wait):
-				}
-				d := net.Dialer{Timeout: dialTimeout}
-				nc, err := d.DialContext(ctx, "tcp", to.addr)
-				if err != nil {
-					l.loop.Post(func() { l.refused(to.addr, err) })
-					continue
-				}
-				w := outbox.New(nc, outRoom)
-				l.loop.Post(func() { l.opened(to.addr, w) })
-				g.Go(func() error { l.serve(ctx, nc, w); return nil })
-			}
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case to := <-l.dials:
+			g.Go(func() error { l.serve(ctx, to); return nil })
 		}
-	})
-	return g.Wait()
+	}
 }
 
-// serve runs one connection to its end.
-func (l *Link) serve(ctx context.Context, nc net.Conn, w *outbox.Outbox) {
+// serve runs one connection from its dial to its end.
+func (l *Link) serve(ctx context.Context, to dial) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(to.wait):
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", to.addr)
+	if err != nil {
+		l.loop.Post(func() { l.refused(to.addr, err) })
+		return
+	}
+	w := outbox.New(nc, outRoom)
+	l.loop.Post(func() { l.opened(to.addr, w) })
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, w.Close)()
 	g.Go(w.Run)
 	g.Go(func() error {
-		in := bufio.NewReaderSize(nc, 8<<10)
+		in := bufio.NewReaderSize(nc, readRoom)
 		for {
 			id, r, body, err := readReply(in)
 			if err != nil {
+				w.Close()
 				return err
 			}
 			l.loop.Post(func() { l.replied(w, id, r, body) })
 		}
 	})
-	err := g.Wait()
+	err = g.Wait()
 	l.loop.Post(func() { l.closed(w, err) })
 }
 
@@ -119,29 +131,48 @@
 // for the same request is given up.
 func (l *Link) Call(id string, until time.Duration, body []byte) {
 	l.Drop(id)
-	c := &call{body: body, until: until}
+	c := &call{id: id, body: body, until: until}
 	c.end = l.loop.Deadlines.Add(until, func() {
 		l.Drop(id)
 		l.reply(id, Expired, nil)
 	})
 	l.calls[id] = c
-	l.loop.Deadlines.Cancel(l.idle)
-	if l.cur != nil {
-		l.write(id, c)
-		return
+	for i := len(l.free) - 1; i >= 0; i-- {
+		// A second copy of the last reply would be taken for the answer to the same request's next call.
+		if w := l.free[i]; w.last != id {
+			l.free = append(l.free[:i], l.free[i+1:]...)
+			l.loop.Deadlines.Cancel(w.idle)
+			l.write(c, w)
+			return
+		}
 	}
+	l.waiting = append(l.waiting, c)
 	l.dial()
 }
 
-func (l *Link) write(id string, c *call) {
-	c.on = l.cur
-	l.cur.Send(appendCall(nil, id, c.until-l.loop.Now(), c.body))
+func (l *Link) write(c *call, w *conn) {
+	c.on, w.call = w, c
+	w.Send(appendCall(nil, c.id, c.until-l.loop.Now(), c.body))
+}
+
+// next takes the call that waits for longest.
+func (l *Link) next() *call {
+	for len(l.waiting) > 0 {
+		c := l.waiting[0]
+		l.waiting[0] = nil
+		l.waiting = l.waiting[1:]
+		if l.calls[c.id] == c {
+			return c
+		}
+	}
+	return nil
 }
 
+// dial has connections opened for the calls that wait, as far as there may be more.
 func (l *Link) dial() {
-	if !l.dialing {
-		l.dialing = true
-		l.dials <- dial{l.addr, l.backoff} // has room: one dial at a time
+	for l.dialing < len(l.waiting) && l.dialing+len(l.conns) < cap(l.dials) {
+		l.dialing++
+		l.dials <- dial{l.addr, l.backoff}
 	}
 }
 
@@ -151,36 +182,41 @@
 	if c == nil {
 		return false
 	}
-	if c.on != nil {
-		c.on.Send(appendDrop(nil, id))
+	l.end(c)
+	if w := c.on; w != nil {
+		w.Send(appendDrop(nil, id))
+		l.close(w) // its reply may still come, or never
 	}
-	l.end(id, c)
 	return true
 }
 
-func (l *Link) end(id string, c *call) {
+func (l *Link) end(c *call) {
 	l.loop.Deadlines.Cancel(c.end)
-	delete(l.calls, id)
-	if len(l.calls) == 0 && l.cur != nil {
-		w := l.cur
-		l.loop.Deadlines.Cancel(l.idle)
-		l.idle = l.loop.Deadlines.Add(l.loop.Now()+idleClose, func() {
-			if l.cur == w && len(l.calls) == 0 {
-				l.cur = nil
-				w.Close()
-			}
-		})
+	delete(l.calls, c.id)
+	if c.on != nil {
+		c.on.call = nil
 	}
 }
 
+// close ends a connection that carries no call any more.
+func (l *Link) close(w *conn) {
+	w.Close()
+	delete(l.conns, w.Outbox)
+	l.dial()
+}
+
 // Move has new calls made at another address. Those under way may end where they are.
 func (l *Link) Move(addr string) {
 	if addr == l.addr {
 		return
 	}
-	l.addr = addr
-	if w := l.cur; w != nil {
-		l.cur = nil
+	l.addr, l.backoff = addr, 0
+	for _, w := range l.free {
+		l.loop.Deadlines.Cancel(w.idle)
+		l.close(w)
+	}
+	l.free = nil
+	for _, w := range l.conns {
 		l.loop.Deadlines.Add(l.loop.Now()+Finish, w.Close)
 	}
 }
@@ -188,67 +224,90 @@
 // Opens is how many connections have been opened.
 func (l *Link) Opens() uint64 { return l.opens }
 
-// outdated deals with the end of a dial to an address that is not in force any more: calls that wait
-// for it go to the one that is.
-func (l *Link) outdated(addr string) bool {
-	if addr == l.addr {
-		return false
-	}
-	l.dialing, l.backoff = false, 0
-	if len(l.calls) > 0 && l.cur == nil {
+func (l *Link) opened(addr string, w *outbox.Outbox) {
+	l.dialing--
+	if addr != l.addr {
+		w.Close()
 		l.dial()
+		return
 	}
-	return true
+	l.opens++
+	l.backoff = 0
+	c := &conn{Outbox: w, addr: addr}
+	l.conns[w] = c
+	l.use(c)
 }
 
-func (l *Link) opened(addr string, w *outbox.Outbox) {
-	if l.outdated(addr) {
-		w.Close()
+// use gives w to a call that waits, or keeps it for a moment.
+func (l *Link) use(w *conn) {
+	if c := l.next(); c != nil {
+		l.write(c, w)
 		return
 	}
-	l.opens++
-	l.cur, l.dialing, l.backoff = w, false, 0
-	for id, c := range l.calls {
-		if c.on == nil {
-			l.write(id, c)
+	l.free = append(l.free, w)
+	w.idle = l.loop.Deadlines.Add(l.loop.Now()+reuseWithin, func() { l.unfree(w); l.close(w) })
+}
+
+// unfree takes w from the connections that wait for a call, and reports whether it was one.
+func (l *Link) unfree(w *conn) bool {
+	for i, f := range l.free {
+		if f == w {
+			l.free = append(l.free[:i], l.free[i+1:]...)
+			l.loop.Deadlines.Cancel(w.idle)
+			return true
 		}
 	}
+	return false
 }
 
 func (l *Link) refused(addr string, err error) {
-	if l.outdated(addr) {
-		return
+	l.dialing--
+	if addr == l.addr {
+		l.backoff = min(max(2*l.backoff, backoffLeast), backoffMost)
+		l.log.Warn("store", "no connection to the store", err)
+		if c := l.next(); c != nil {
+			l.end(c)
+			l.reply(c.id, Refused, nil)
+		}
 	}
-	l.dialing = false
-	l.backoff = min(max(2*l.backoff, backoffLeast), backoffMost)
-	l.log.Warn("store", "no connection to the store", err)
-	l.fail(nil, Refused)
+	l.dial() // one to an address of the past proves nothing about the calls that wait
 }
 
-func (l *Link) replied(w *outbox.Outbox, id string, r Reply, body []byte) {
-	if c := l.calls[id]; c != nil && c.on == w {
-		l.end(id, c)
-		l.reply(id, r, body)
+func (l *Link) replied(o *outbox.Outbox, id string, r Reply, body []byte) {
+	w := l.conns[o]
+	if w == nil {
+		return
 	}
-}
-
-func (l *Link) closed(w *outbox.Outbox, err error) {
-	if l.cur == w {
-		l.cur = nil
+	c := w.call
+	if c == nil || c.id != id {
+		// Nobody asked for it. A call under way may still be answered; no further one is made there.
+		w.addr = ""
+		if c == nil {
+			l.unfree(w)
+			l.close(w)
+		}
+		return
 	}
-	if l.fail(w, Broken) {
-		l.log.Warn("store", "connection to the store broke during a call", err)
+	l.end(c)
+	w.last = id
+	if w.addr == l.addr {
+		l.use(w)
+	} else {
+		l.close(w)
 	}
+	l.reply(id, r, body)
 }
 
-// fail ends all calls on w, or those that wait for a connection.
-func (l *Link) fail(w *outbox.Outbox, r Reply) (any bool) {
-	for id, c := range l.calls {
-		if c.on == w {
-			any = true
-			l.end(id, c)
-			l.reply(id, r, nil)
-		}
+func (l *Link) closed(o *outbox.Outbox, err error) {
+	w := l.conns[o]
+	if w == nil {
+		return
+	}
+	l.unfree(w)
+	l.close(w)
+	if c := w.call; c != nil {
+		l.log.Warn("store", "connection to the store broke during a call", err)
+		l.end(c)
+		l.reply(c.id, Broken, nil)
 	}
-	return any
 }
--- a/internal/store/link_test.go
+++ b/internal/store/link_test.go
@@ -28,7 +28,7 @@
 func newLoop(t *testing.T, addr string) *loop {
 	l := &loop{T: t, in: make(chan func(), 10), due: deadline.New()}
 	log, _ := test.NewNullLogger()
-	l.link = New(addr, Loop{Post: func(f func()) { l.in <- f }, Now: func() time.Duration { return l.now }, Deadlines: l.due},
+	l.link = New(addr, 4, Loop{Post: func(f func()) { l.in <- f }, Now: func() time.Duration { return l.now }, Deadlines: l.due},
 		func(id string, r Reply, body []byte) { l.ends = append(l.ends, fmt.Sprintf("%s %d %s", id, r, body)) },
 		logging.NewLimiter(log))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -46,18 +46,41 @@
 	return ln
 }
 
+// accept takes the connection that a call opens, and returns it once the call was read from it.
+func (l *loop) accept(ln net.Listener, call string, body string) (net.Conn, *bufio.Reader) {
+	l.Helper()
+	nc, err := ln.Accept()
+	require.NoError(l, err)
+	l.Cleanup(func() { nc.Close() })
+	l.turn()
+	in := bufio.NewReader(nc)
+	l.expect(in, call, body)
+	return nc, in
+}
+
+func (l *loop) expect(in *bufio.Reader, lines ...string) {
+	l.Helper()
+	for _, want := range lines {
+		line, err := in.ReadString('\n')
+		require.NoError(l, err)
+		require.Equal(l, want+"\r\n", line)
+	}
+}
+
+// expectEnd reads the end of a connection.
+func (l *loop) expectEnd(in *bufio.Reader) {
+	l.Helper()
+	_, err := in.ReadByte()
+	require.Error(l, err)
+	l.turn()
+}
+
 // A refused connection proves that no call ran; one that breaks meanwhile proves nothing.
 func TestRefusedAndBroken(t *testing.T) {
 	ln := listen(t)
 	l := newLoop(t, ln.Addr().String())
 	l.link.Call("ab", time.Hour, nil)
-	nc, err := ln.Accept()
-	require.NoError(t, err)
-	l.turn()
-	in := bufio.NewReader(nc)
-	line, err := in.ReadString('\n')
-	require.NoError(t, err)
-	require.Equal(t, "CALL ab 3600000 0\r\n", line)
+	nc, _ := l.accept(ln, "CALL ab 3600000 0", "")
 	ln.Close()
 	nc.Close()
 	l.turn()
@@ -72,25 +95,20 @@
 	old, next := listen(t), listen(t)
 	l := newLoop(t, old.Addr().String())
 	l.link.Call("ab", time.Hour, nil)
+	ab, _ := l.accept(old, "CALL ab 3600000 0", "")
 	l.link.Call("cd", time.Hour, nil)
-	was, err := old.Accept()
-	require.NoError(t, err)
-	l.turn()
+	_, cd := l.accept(old, "CALL cd 3600000 0", "")
 	l.link.Move(next.Addr().String())
 	l.link.Call("ef", time.Hour, nil)
-	is, err := next.Accept()
-	require.NoError(t, err)
-	l.turn()
-	line, err := bufio.NewReader(is).ReadString('\n')
-	require.NoError(t, err)
-	require.Equal(t, "CALL ef 3600000 0\r\n", line)
-	fmt.Fprint(was, "ab OK 1\r\nx\r\n")
+	l.accept(next, "CALL ef 3600000 0", "")
+	fmt.Fprint(ab, "ab OK 1\r\nx\r\n")
 	l.turn()
+	l.turn() // that connection has ended: the old address gets nothing new
 	l.now = Finish
 	l.due.Sweep(l.now)
-	l.turn() // the old connection has ended
+	l.expectEnd(cd)
 	require.Equal(t, []string{fmt.Sprintf("ab %d x", OK), fmt.Sprintf("cd %d ", Broken)}, l.ends)
-	require.EqualValues(t, 2, l.link.Opens())
+	require.EqualValues(t, 3, l.link.Opens())
 }
 
 // A dial to where the store no longer is proves nothing about the calls that wait for it.
@@ -108,37 +126,86 @@
 	require.EqualValues(t, 1, l.link.Opens())
 }
 
-// A call whose time is up is dropped at the store, a reply that crosses that is not taken for
-// another's, and a connection that is idle is closed before the store's own close can cross a call.
-func TestExpiryAndIdle(t *testing.T) {
+// A call whose time is up is dropped, and its connection with it: the reply may never come, or be taken
+// for that of a later call.
+func TestExpiry(t *testing.T) {
 	ln := listen(t)
 	l := newLoop(t, ln.Addr().String())
 	l.link.Call("ab", 100*time.Millisecond, []byte("x"))
 	l.now = 40 * time.Millisecond // the way to the store counts
-	nc, err := ln.Accept()
-	require.NoError(t, err)
-	l.turn()
+	nc, in := l.accept(ln, "CALL ab 60 1", "x")
 	l.now = 100 * time.Millisecond
 	l.due.Sweep(l.now)
-	fmt.Fprint(nc, "ab OK 1\r\nx\r\n")
-	l.turn()
 	require.Equal(t, []string{fmt.Sprintf("ab %d ", Expired)}, l.ends)
-	in := bufio.NewReader(nc)
-	for _, want := range []string{"CALL ab 60 1\r\n", "x\r\n", "DROP ab\r\n"} {
-		line, err := in.ReadString('\n')
-		require.NoError(t, err)
-		require.Equal(t, want, line)
+	fmt.Fprint(nc, "ab OK 1\r\nx\r\n")
+	l.expect(in, "DROP ab")
+	l.link.Call("ab", l.now+time.Second, nil)
+	for len(l.link.conns) == 0 { // the end of the first connection may come between
+		l.turn()
 	}
-	l.now += idleClose
+	require.Len(t, l.ends, 1)
+}
+
+// A reply that can't be read costs the call that it was for, and no other that is under way.
+func TestOneCallAConnection(t *testing.T) {
+	ln := listen(t)
+	l := newLoop(t, ln.Addr().String())
+	l.link.Call("ab", time.Hour, nil)
+	ab, _ := l.accept(ln, "CALL ab 3600000 0", "")
+	l.link.Call("cd", time.Hour, nil)
+	cd, in := l.accept(ln, "CALL cd 3600000 0", "")
+	fmt.Fprint(ab, "ab OK 3000000000\r\n")
+	l.turn()
+	fmt.Fprint(cd, "cd OK 1\r\nx\r\n")
+	l.turn()
+	require.Equal(t, []string{fmt.Sprintf("ab %d ", Broken), fmt.Sprintf("cd %d x", OK)}, l.ends)
+	l.link.Call("ef", time.Hour, nil) // the connection is used again, as long as that is soon
+	l.expect(in, "CALL ef 3600000 0", "")
+	fmt.Fprint(cd, "ef BUSY\r\n")
+	l.turn()
+	l.now += reuseWithin
 	l.due.Sweep(l.now)
-	_, err = in.ReadByte()
-	require.Error(t, err)
+	l.expectEnd(in)
+	require.Empty(t, l.link.conns)
+}
+
+// Replies that nobody asked for end nothing, and no call is made any more on a connection that brought
+// one. A second copy might be taken for the reply to its request's next call, so that goes elsewhere.
+func TestUnaskedReplies(t *testing.T) {
+	ln := listen(t)
+	l := newLoop(t, ln.Addr().String())
+	l.link.Call("ab", time.Hour, nil)
+	first, in := l.accept(ln, "CALL ab 3600000 0", "")
+	fmt.Fprint(first, "ab OK 1\r\nx\r\n")
 	l.turn()
-	l.link.Call("cd", l.now+time.Second, nil)
-	again, err := ln.Accept()
-	require.NoError(t, err)
+	l.link.Call("ab", time.Hour, nil)
+	second, ahead := l.accept(ln, "CALL ab 3600000 0", "")
+	fmt.Fprint(first, "ab OK 1\r\nx\r\n")
+	l.turn()
+	l.expectEnd(in)
+	fmt.Fprint(second, "ff OK 1\r\ny\r\n")
 	l.turn()
-	fmt.Fprint(again, "no reply\r\n") // a bad line ends the connection, not the process
+	fmt.Fprint(second, "ab OK 1\r\nz\r\n")
+	l.turn()
+	l.expectEnd(ahead)
+	require.Equal(t, []string{fmt.Sprintf("ab %d x", OK), fmt.Sprintf("ab %d z", OK)}, l.ends)
+}
+
+// Calls past the number of connections wait for one to be free, in order.
+func TestMostConnections(t *testing.T) {
+	ln := listen(t)
+	l := newLoop(t, ln.Addr().String())
+	var in *bufio.Reader
+	var nc net.Conn
+	for i := range cap(l.link.dials) {
+		l.link.Call(fmt.Sprint("c", i), time.Hour, nil)
+		nc, in = l.accept(ln, fmt.Sprintf("CALL c%d 3600000 0", i), "")
+	}
+	l.link.Call("gone", time.Hour, nil)
+	l.link.Call("next", time.Hour, nil)
+	require.True(t, l.link.Drop("gone"))
+	require.Zero(t, l.link.dialing)
+	fmt.Fprint(nc, "c3 BUSY\r\n")
 	l.turn()
-	require.Equal(t, fmt.Sprintf("cd %d ", Broken), l.ends[1])
+	l.expect(in, "CALL next 3600000 0", "")
 }
