Bound the values in a frame; count connections ended as silent or unreadable

Change: at most 128 values a frame (a request with all its fields has 26). The codec no longer builds its table of lengths anew for every body. Connections that ended without a whole message, or with what is no message, have counters of their own, so that strangers can be told from front ends that left.

--- a/internal/msgpackrpc/codec.go
+++ b/internal/msgpackrpc/codec.go
@@ -14,11 +14,13 @@
 	maxBody  = 2 << 10             // of a request
 	maxFrame = maxBody + (6 << 10) // body, fields and what frames them
 	maxDepth = 6                   // of nested arrays and maps
+	maxItems = 128                 // values in a frame; a decoded one takes far more memory than its byte
 )
 
 var (
 	errTooLong = errors.New("frame too long")
 	errTooDeep = errors.New("frame nested too deep")
+	errTooFull = errors.New("frame of too many values")
 )
 
 // binaryValue and the types below are what a decoded value may be, besides nil, bool, int64, uint64,
@@ -33,13 +35,14 @@
 
 // decoder reads values from a stream, each frame up to maxFrame bytes.
 type decoder struct {
-	in   *bufio.Reader
-	left int
+	in    *bufio.Reader
+	left  int // bytes that the frame may still have
+	items int // values that it may still have
 }
 
 // next reads one whole value. After an error the stream can't be read on.
 func (d *decoder) next() (any, error) {
-	d.left = maxFrame
+	d.left, d.items = maxFrame, maxItems
 	return d.value(0)
 }
 
@@ -74,6 +77,9 @@
 	if depth > maxDepth {
 		return nil, errTooDeep
 	}
+	if d.items--; d.items < 0 {
+		return nil, errTooFull
+	}
 	tag, err := d.uint(1)
 	if err != nil {
 		return nil, err
@@ -119,10 +125,13 @@
 	return d.sized(tag, depth)
 }
 
+// firsts are the tags whose lengths have 1 byte, for those of 1, 2 and 4; arrays and maps begin at 2.
+var firsts = [256]uint64{0xc4: 0xc4, 0xc5: 0xc4, 0xc6: 0xc4, 0xc7: 0xc7, 0xc8: 0xc7, 0xc9: 0xc7,
+	0xd9: 0xd9, 0xda: 0xd9, 0xdb: 0xd9, 0xdc: 0xdb, 0xdd: 0xdb, 0xde: 0xdd, 0xdf: 0xdd}
+
 // sized reads a value whose tag is followed by its length.
 func (d *decoder) sized(tag uint64, depth int) (any, error) {
-	first := map[uint64]uint64{0xc4: 0xc4, 0xc5: 0xc4, 0xc6: 0xc4, 0xc7: 0xc7, 0xc8: 0xc7, 0xc9: 0xc7,
-		0xd9: 0xd9, 0xda: 0xd9, 0xdb: 0xd9, 0xdc: 0xdb, 0xdd: 0xdb, 0xde: 0xdd, 0xdf: 0xdd}[tag]
+	first := firsts[tag]
 	if first == 0 {
 		return nil, fmt.Errorf("byte %#x starts no value", tag)
 	}
--- a/internal/msgpackrpc/codec_test.go
+++ b/internal/msgpackrpc/codec_test.go
@@ -43,7 +43,7 @@
 func TestDecodeRefuses(t *testing.T) {
 	for _, in := range []string{"", "\xc1", "\x92\x01", "\xa2h", "\xdd\xff\xff\xff\xff", "\xdf\xff\xff\xff\xff",
 		"\xc6\xff\xff\xff\xff", "\xdb\x7f\xff\xff\xff", "\xde\xff\xff", strings.Repeat("\x91", maxDepth+2),
-		"\xc5\xff\xff" + strings.Repeat("x", 1<<16)} {
+		"\xdc\x10\x00" + strings.Repeat("\xc0", 1<<12), "\xc5\xff\xff" + strings.Repeat("x", 1<<16)} {
 		_, err := decode([]byte(in))
 		require.Error(t, err, "%.20q", in)
 	}
--- a/internal/msgpackrpc/conn_test.go
+++ b/internal/msgpackrpc/conn_test.go
@@ -1,7 +1,16 @@
 package msgpackrpc
 
 import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
 	"testing"
+
+	"falldeal/internal/server"
+
+	"github.com/stretchr/testify/require"
 )
 
 func appendProbe(id uint32, fields map[string]string) []byte {
@@ -88,3 +97,20 @@
 	good.write(appendProbe(2, nil))
 	good.expectAnswer(2, "%!s(bool=true)")
 }
+
+// What ended a connection is counted by its kind.
+func TestEnds(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want server.End
+	}{
+		{io.EOF, server.Left},
+		{&net.OpError{Op: "read", Err: syscall.ECONNRESET}, server.Left},
+		{&net.OpError{Op: "read", Err: net.ErrClosed}, server.Left},
+		{&net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}, server.Silent},
+		{errTooLong, server.Unreadable},
+		{fmt.Errorf("%w: kind 7", errBroken), server.Unreadable},
+	} {
+		require.Equal(t, c.want, endOf(c.err), "%v", c.err)
+	}
+}
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"falldeal/internal/logging"
@@ -74,11 +75,24 @@
 	})
 	g.Go(func() error {
 		s.Opened(c)
-		if err := c.read(s); err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		err := c.read(s)
+		if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 			f.log.Warn("front end", "connection of a front end ended", err)
 		}
 		c.Close()
-		s.Closed(c)
+		s.Closed(c, endOf(err))
 		return nil
 	})
 }
+
+// endOf tells why reading a connection ended.
+func endOf(err error) server.End {
+	var broken net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return server.Silent
+	case errors.Is(err, io.EOF), errors.As(err, &broken):
+		return server.Left
+	}
+	return server.Unreadable
+}
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -57,6 +57,16 @@
 	MostOpen() int // calls that may be open at once
 }
 
+// End tells why a connection ended.
+type End uint8
+
+// The kinds of End.
+const (
+	Left       End = iota // either side closed it, or the network did
+	Silent                // no message came, or one that did not end
+	Unreadable            // what came is not of the protocol
+)
+
 // Front accepts front ends of one protocol and hands what they send to a Server.
 type Front interface {
 	// Serve returns once the listener is closed or ctx ends; connections run in g.
--- a/internal/server/take.go
+++ b/internal/server/take.go
@@ -76,7 +76,17 @@
 }
 
 // Closed tells that a connection has ended: nobody waits for answers on it.
-func (s *Server) Closed(p Peer) { s.post(func() { s.forgetPeer(p) }) }
+func (s *Server) Closed(p Peer, why End) {
+	s.post(func() {
+		switch why {
+		case Silent:
+			s.stats.Silent++
+		case Unreadable:
+			s.stats.Unreadable++
+		}
+		s.forgetPeer(p)
+	})
+}
 
 func (s *Server) forgetPeer(p Peer) {
 	st := s.peers[p]
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -5,7 +5,8 @@
 
 // Counters are counted by one goroutine.
 type Counters struct {
-	Connections, ConnectionsClosed uint64 // of front ends; those closed from this side
+	Connections, ConnectionsClosed uint64 // of front ends; those closed to make room or as idle
+	Silent, Unreadable             uint64 // those ended for saying nothing whole, and nothing of the protocol
 
 	Requests, Repeats, Invalid, Cancelled, Probes uint64 // taken in
 	Runs, Calls, CallsDropped, Skips, Exercises   uint64 // sent
@@ -24,6 +25,7 @@
 func (c *Counters) Print(log logrus.FieldLogger, open, running, keys, peers int) {
 	log.WithFields(logrus.Fields{
 		"connections": c.Connections, "connections_closed": c.ConnectionsClosed,
+		"silent": c.Silent, "unreadable": c.Unreadable,
 		"requests": c.Requests, "repeats": c.Repeats, "invalid": c.Invalid, "cancelled": c.Cancelled, "probes": c.Probes,
 		"runs": c.Runs, "calls": c.Calls, "calls_dropped": c.CallsDropped, "skips": c.Skips, "exercises": c.Exercises,
 		"served": c.Served, "reused": c.Reused, "refused": c.Refused, "failed": c.Failed,
