Use connections to the store again within 50 ms only, the longest idle first

Probe (not committed): for each break, how long the connection had been idle and how soon after the call it broke. 138 breaks came 67 to 175 us after the call, all on connections used before; idle times were 110 ms and more, but for a few that had replied microseconds earlier and were closed behind the reply. Such a call never ran, yet a reset proves nothing, so a licence order fails of it.

Change: 50 ms instead of 0.5 s, and the connection that has been idle for longest is taken first, so that one which just replied has time to show its close or a second reply. The cost is a dial of 0.1 ms. The tests on whole servers take calls on whatever connection they come.

--- a/internal/msgpackrpc/peers_test.go
+++ b/internal/msgpackrpc/peers_test.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -33,7 +34,7 @@
 	commands chan command  // what the agent is told, besides samples
 	samples  chan struct{} // one for each sample, as far as they are waited for
 	greet    chan string   // lets the agent greet on the next link, in that state
-	store    net.Listener
+	calls    chan storeCall
 
 	mu     sync.Mutex
 	agent  net.Conn
@@ -48,10 +49,16 @@
 	Payload                 []byte
 }
 
+// storeCall is a call to the store, and where its reply goes.
+type storeCall struct {
+	net.Conn
+	id, body string
+}
+
 // start runs an image server with the sample configuration, in which each old text is replaced.
 func start(t *testing.T, oldNew ...string) *peers {
 	p := &peers{T: t, over: make(chan error, 1), commands: make(chan command, 100), samples: make(chan struct{}),
-		greet: make(chan string, 1)}
+		greet: make(chan string, 1), calls: make(chan storeCall, 10)}
 	text, err := os.ReadFile("../config/testdata/config.json")
 	require.NoError(t, err)
 	// A machine that stands still for a while must not turn a test's requests into late ones.
@@ -61,9 +68,9 @@
 	require.NoError(t, err)
 	agent, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p.store, err = net.Listen("tcp", "127.0.0.1:0")
+	store, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	cfg.Agent, cfg.Store = agent.Addr().String(), p.store.Addr().String()
+	cfg.Agent, cfg.Store = agent.Addr().String(), store.Addr().String()
 	log, _ := test.NewNullLogger()
 	front, err := Listen("127.0.0.1:0", cfg.Limits.FrontSockets(), logging.NewLimiter(log))
 	require.NoError(t, err)
@@ -72,7 +79,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { p.over <- p.server.Run(ctx, front) }()
 	go p.serveAgent(agent)
-	t.Cleanup(func() { cancel(); agent.Close(); p.store.Close() })
+	go p.serveStore(store)
+	t.Cleanup(func() { cancel(); agent.Close(); store.Close() })
 	p.greet <- "steady"
 	p.expect("subscribe", "")
 	p.quiet() // the server is ready once it samples
@@ -113,6 +121,34 @@
 	}
 }
 
+// serveStore takes calls on whatever connection they come.
+func (p *peers) serveStore(ln net.Listener) {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer nc.Close()
+			in := bufio.NewReader(nc)
+			for {
+				line, err := in.ReadString('\n')
+				c := storeCall{Conn: nc}
+				var wait, length int
+				if _, scanErr := fmt.Sscanf(line, "CALL %s %d %d\r\n", &c.id, &wait, &length); err != nil || scanErr != nil {
+					return
+				}
+				body := make([]byte, length+2)
+				if _, err := io.ReadFull(in, body); err != nil {
+					return
+				}
+				c.body = strings.TrimSuffix(string(body), "\r\n")
+				p.calls <- c
+			}
+		}()
+	}
+}
+
 func await[T any](p *peers, from <-chan T, what string) (v T) {
 	p.Helper()
 	select {
--- a/internal/msgpackrpc/rules_test.go
+++ b/internal/msgpackrpc/rules_test.go
@@ -1,7 +1,6 @@
 package msgpackrpc
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"testing"
@@ -22,20 +21,9 @@
 	require.Equal(t, body, string(c.Payload))
 
 	p.tell("request", id, "", []byte("call\r\n"))
-	nc, err := p.store.Accept()
-	require.NoError(t, err)
-	defer nc.Close()
-	in := bufio.NewReader(nc)
-	line, err := in.ReadString('\n')
-	require.NoError(t, err)
-	var wait, length int
-	_, err = fmt.Sscanf(line, "CALL "+id+" %d %d\r\n", &wait, &length)
-	require.NoError(t, err, line)
-	call := make([]byte, length+2)
-	_, err = in.Read(call)
-	require.NoError(t, err)
-	require.Equal(t, "call\r\n\r\n", string(call))
-	fmt.Fprintf(nc, "%s OK 7\r\nreply\r\n\r\n", id)
+	call := await(p, p.calls, "call")
+	require.Equal(t, id+" call\r\n", call.id+" "+call.body)
+	fmt.Fprintf(call, "%s OK 7\r\nreply\r\n\r\n", id)
 	require.Equal(t, "reply\r\n", string(p.expect("deliver", id).Payload))
 	p.tell("outcome", id, "success", []byte(body))
 	f.expectAnswer(1, body)
@@ -50,8 +38,7 @@
 	run := f.send("hires-crop", "x")
 	p.expect("launch", run)
 	p.tell("request", run, "", nil) // proves that the launch was read
-	_, err = in.ReadString('\n')
-	require.NoError(t, err, "the server has read the notice once it calls")
+	await(p, p.calls, "call")       // the server has read the notice once it calls
 	p.cut()
 	waiting := f.send("hires-crop", "y")
 	require.Equal(t, p.offset, p.expect("subscribe", "").Offset)
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -18,7 +18,7 @@
 	outRoom      = 8 // lines that wait to be written on a connection
 	readRoom     = 4 << 10
 	dialTimeout  = 2 * time.Second
-	reuseWithin  = 500 * time.Millisecond // a connection idle for longer may have been forgotten by the store
+	reuseWithin  = 50 * time.Millisecond // the store may have forgotten one idle for longer, and a dial takes 0.1 ms
 	backoffLeast = 10 * time.Millisecond
 	backoffMost  = 200 * time.Millisecond
 
@@ -46,7 +46,7 @@
 	calls   map[string]*call
 	waiting []*call // for a connection, in order; ended ones are passed over
 	conns   map[*outbox.Outbox]*conn
-	free    []*conn // the last used at the end
+	free    []*conn // the last used at the end, and used last: by then its close or a second reply would show
 	dialing int
 	opens   uint64 // connections opened so far
 	backoff time.Duration
@@ -137,9 +137,9 @@
 		l.reply(id, Expired, nil)
 	})
 	l.calls[id] = c
-	for i := len(l.free) - 1; i >= 0; i-- {
+	for i, w := range l.free {
 		// A second copy of the last reply would be taken for the answer to the same request's next call.
-		if w := l.free[i]; w.last != id {
+		if w.last != id {
 			l.free = append(l.free[:i], l.free[i+1:]...)
 			l.loop.Deadlines.Cancel(w.idle)
 			l.write(c, w)
--- a/internal/store/link_test.go
+++ b/internal/store/link_test.go
@@ -191,6 +191,23 @@
 	require.Equal(t, []string{fmt.Sprintf("ab %d x", OK), fmt.Sprintf("ab %d z", OK)}, l.ends)
 }
 
+// A store that closes a connection behind its reply, or says more on it, shows that soon: the one that has
+// been idle for longest is used first, and the one that just replied last.
+func TestLongestIdleFirst(t *testing.T) {
+	ln := listen(t)
+	l := newLoop(t, ln.Addr().String())
+	l.link.Call("ab", time.Hour, nil)
+	ab, first := l.accept(ln, "CALL ab 3600000 0", "")
+	l.link.Call("cd", time.Hour, nil)
+	cd, _ := l.accept(ln, "CALL cd 3600000 0", "")
+	fmt.Fprint(ab, "ab BUSY\r\n")
+	l.turn()
+	fmt.Fprint(cd, "cd BUSY\r\n")
+	l.turn()
+	l.link.Call("ef", time.Hour, nil)
+	l.expect(first, "CALL ef 3600000 0", "")
+}
+
 // Calls past the number of connections wait for one to be free, in order.
 func TestMostConnections(t *testing.T) {
 	ln := listen(t)
