Skip calls that would be waited for too long, where the class allows it

A slow store answers OK, so the breaker drops nothing.

Design: the bound on calls and what exceeds it are ours; the breaker is as it was.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,6 +62,7 @@
 	callsFew      = 0.1                     // least calls a run that are reckoned with; ours
 	callGain      = 0.1                     // weight of a new call in its mean time; ours
 	waitersPerOut = 1.0                     // waiting for a call, for each in hand, that hold back runs; ours
+	skipWait      = 0.3                     // of the time left that a call is waited for, else skipped; ours
 
 	// Guards.
 	reuseRoom  = 0.5                    // of the memory in use, up to which answers are kept for reads; ours
@@ -185,7 +186,8 @@
 	}
 	for c.finish(j) > j.aim {
 		// Cores that idle beside a hold show that calls are short, whatever the forecast says.
-		calls := k.Calls && (float64(c.onCores) < c.runLimit && c.heldN > 0 || c.callWait() > c.coreWait(j))
+		calls := k.Calls && !c.skips(j) &&
+			(float64(c.onCores) < c.runLimit && c.heldN > 0 || c.callWait() > c.coreWait(j))
 		why := whyCores
 		if calls {
 			why = whyCalls
@@ -230,7 +232,7 @@
 	if cs.onCore.x.set {
 		t = cs.onCore.at(j.work)
 	}
-	if c.s.Classes[j.class].Calls {
+	if c.s.Classes[j.class].Calls && !c.skips(j) {
 		t += cs.perRun.or(1) * c.callTime.or(0.05)
 	}
 	return seconds(t)
@@ -249,24 +251,30 @@
 	return seconds(ahead / c.pace())
 }
 
-// callWait is how long a new request waits for calls that others will make first.
+// callWait is how long a new request waits for calls that others will make first. Those that may do
+// without theirs yield.
 func (c *Controller) callWait() time.Duration {
 	if c.s.CallsOut <= 0 || !c.callTime.set {
 		return 0
 	}
 	ahead := float64(c.waitN)
 	for i := range c.classes {
-		if c.s.Classes[i].Calls {
+		if c.s.Classes[i].Calls && c.s.Classes[i].SkipWorth <= 0 {
 			ahead += float64(c.classes[i].heldN) * c.classes[i].perRun.or(1)
 		}
 	}
 	return seconds(ahead * c.callTime.v / c.callLimit())
 }
 
+// skips: j may do without its call, and would wait for it so long that those who may not should have it.
+func (c *Controller) skips(j *job) bool {
+	return c.s.Classes[j.class].SkipWorth > 0 && c.callWait() > scale(j.aim-c.now, skipWait)
+}
+
 // finish is when j would be answered if it were taken now.
 func (c *Controller) finish(j *job) time.Duration {
 	w := c.coreWait(j)
-	if c.s.Classes[j.class].Calls {
+	if c.s.Classes[j.class].Calls && !c.skips(j) {
 		w = max(w, c.callWait())
 	}
 	return c.now + w + c.service(j)
@@ -333,10 +341,13 @@
 	var by time.Duration
 	for i := range c.classes {
 		cs := &c.classes[i]
-		if len(cs.hold) == 0 || jammed && c.s.Classes[i].Calls && cs.perRun.or(1) > 0 {
+		if len(cs.hold) == 0 {
 			continue
 		}
 		j := cs.hold[0]
+		if jammed && c.s.Classes[i].Calls && cs.perRun.or(1) > 0 && !c.skips(j) {
+			continue
+		}
 		if at := j.aim - c.service(j); best == nil || at < by {
 			best, by = j, at
 		}
@@ -487,6 +498,17 @@
 	c.queueCall(j)
 }
 
+// skipWaiting lets runs that wait for a call go on without, once that is the better part.
+func (c *Controller) skipWaiting() {
+	c.callers.drop(func(j *job) bool {
+		skip := j.state == waiting && !j.gone && !j.answered && c.skips(j)
+		if skip {
+			c.dropped(j)
+		}
+		return skip
+	})
+}
+
 // mayCall bounds calls in hand and returns the cap of the next one, 0 for none. Up to the bound any is
 // made; one more while the mean over callsPace is under it: a small share is no whole number, and what
 // many nodes save up over a longer time they would spend at once.
@@ -512,6 +534,7 @@
 }
 
 func (c *Controller) makeCalls() {
+	c.skipWaiting()
 	for {
 		j, ok := c.callers.head()
 		if !ok {
--- a/decide/symptoms_test.go
+++ b/decide/symptoms_test.go
@@ -332,3 +332,31 @@
 		t.Errorf("log line %q", a.Text)
 	}
 }
+
+// While what lies below is slow, calls are short: those who may go on without theirs do so at once and leave
+// them to those who may not, instead of being refused, or of holding up the others until both are late.
+func TestCallsThatWouldWaitTooLongAreSkipped(t *testing.T) {
+	s := settings()
+	s.MemoryKB, s.Cores = 1e6, 12
+	for _, c := range []struct {
+		took  float64 // seconds that a call takes of late
+		skips bool
+	}{{0.01, false}, {1, true}} {
+		ctl := start(t, s)
+		for id := RequestID(1); id <= 5; id++ { // more than may call at once
+			atCall(t, ctl, 0, id, 1)
+		}
+		if ctl.waitN == 0 {
+			t.Fatal("no call waits")
+		}
+		ctl.callTime = mean{c.took, true}
+		as := atCall(t, ctl, 0, 7, 3)
+		if got := find(as, Skip, 7) != nil; got != c.skips {
+			t.Errorf("calls take %v s: skipped is %v", c.took, got)
+		}
+		for id := RequestID(1); id <= 5; id++ {
+			wantNone(t, as, Skip, id)
+			wantNone(t, as, Fail, id)
+		}
+	}
+}
--- a/decide/window.go
+++ b/decide/window.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -158,6 +159,15 @@
 func (q *queue[T]) headAt() time.Duration { return q.list[0].at }
 func (q *queue[T]) pop() T                { return heap.Pop(&q.list).(item[T]).val }
 
+// drop takes out all values that out is true for, which is asked in no certain order.
+func (q *queue[T]) drop(out func(T) bool) {
+	n := len(q.list)
+	q.list = slices.DeleteFunc(q.list, func(i item[T]) bool { return out(i.val) })
+	if len(q.list) < n {
+		heap.Init(&q.list)
+	}
+}
+
 func (q *queue[T]) peek(ok bool) (v T, _ bool) {
 	if ok {
 		v = q.list[0].val
