--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -24,8 +24,8 @@
 	backoffLeast = 10 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
 
-	// Finish is how long a link may go on after the agent has moved to another address.
-	Finish = 1500 * time.Millisecond
+	// finish is how long a link may go on after the agent has moved to another address.
+	finish = 1500 * time.Millisecond
 )
 
 // command is kept until the agent is known to have read it.
@@ -121,7 +121,7 @@
 	w := outbox.New(nc, outRoom)
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, w.Close)()
-	defer context.AfterFunc(stay, func() { _ = nc.SetReadDeadline(time.Now().Add(Finish)) })()
+	defer context.AfterFunc(stay, func() { _ = nc.SetReadDeadline(time.Now().Add(finish)) })()
 	g.Go(w.Run)
 	l.post(func() { l.opened(addr, w) })
 	g.Go(func() error { return l.read(nc, w) })
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -11,7 +11,7 @@
 // Stage two, admit: a request that makes sense is put before the controller.
 
 var (
-	errAt         = errors.New("field at: not a time of late")
+	errAt         = errors.New("field at: too long ago for a request of the class, or ahead of the clock")
 	errWait       = errors.New("field wait: longer than the deadline of the class")
 	errNoOnce     = errors.New("field once: missing in a class whose requests must run once")
 	errOtherOrder = errors.New("field once: known with another class or body")
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -22,8 +22,8 @@
 	backoffLeast = 10 * time.Millisecond
 	backoffMost  = 200 * time.Millisecond
 
-	// Finish is how long a call may go on after the store has moved to another address.
-	Finish = 1500 * time.Millisecond
+	// finish is how long a call may go on after the store has moved to another address.
+	finish = 1500 * time.Millisecond
 )
 
 // Loop is what a Link needs of the loop that owns it.
@@ -217,7 +217,7 @@
 	}
 	l.free = nil
 	for _, w := range l.conns {
-		l.loop.Deadlines.Add(l.loop.Now()+Finish, w.Close)
+		l.loop.Deadlines.Add(l.loop.Now()+finish, w.Close)
 	}
 }
 
--- a/internal/store/link_test.go
+++ b/internal/store/link_test.go
@@ -104,7 +104,7 @@
 	fmt.Fprint(ab, "ab OK 1\r\nx\r\n")
 	l.turn()
 	l.turn() // that connection has ended: the old address gets nothing new
-	l.now = Finish
+	l.now = finish
 	l.due.Sweep(l.now)
 	l.expectEnd(cd)
 	require.Equal(t, []string{fmt.Sprintf("ab %d x", OK), fmt.Sprintf("cd %d ", Broken)}, l.ends)
