Answer operators on a console: readiness, figures, drain and undrain

The controller has two events more, Withdraw and Restore; between them it answers health checks badly and does nothing else differently, so what front ends still send is served. Answers are counted by class.

--- a/cmd/falldeal/main.go
+++ b/cmd/falldeal/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -15,6 +16,7 @@
 	"time"
 
 	"falldeal/internal/config"
+	"falldeal/internal/console"
 	"falldeal/internal/logging"
 	"falldeal/internal/msgpackrpc"
 	"falldeal/internal/server"
@@ -105,8 +107,21 @@
 	}
 	log.WithField("addr", front.Addr().String()).Info("listening")
 	s := server.New(c, log)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	if c.Console != "" {
+		ln, err := net.Listen("tcp", c.Console)
+		if err != nil {
+			return fmt.Errorf("console: %w", err)
+		}
+		go func() {
+			if err := console.Serve(ctx, ln, s, logging.NewLimiter(log)); err != nil {
+				log.WithError(err).Error("no console any more")
+			}
+		}()
+	}
 	over := make(chan error, 1)
-	go func() { over <- s.Run(context.Background(), front) }()
+	go func() { over <- s.Run(ctx, front) }()
 
 	var late <-chan time.Time
 	for {
--- a/decide/api.go
+++ b/decide/api.go
@@ -124,6 +124,8 @@
 	CallResult                  // a call below has ended
 	Notice                      // this server is to leave at At
 	Timer                       // a Wake has fallen due; Gauges are set
+	Withdraw                    // operators want front ends to go elsewhere; the process stays
+	Restore                     // and to come back
 )
 
 // Outcome is how a run or a call ended.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -813,13 +813,23 @@
 func (c *Controller) adjustHealth() {
 	c.readWait.v *= readFade
 	bad := !c.unwell && c.readWait.v > readWaitMost*c.shortest().Seconds()
-	if c.draining || bad == c.unwell || c.now < c.healthAt+healthLeast {
+	if c.draining || c.withdrawn || bad == c.unwell || c.now < c.healthAt+healthLeast {
 		return
 	}
 	c.unwell, c.healthAt = bad, c.now
 	c.emit(Action{Kind: Health, Good: !bad, Stored: true})
 }
 
+// withdraw answers checks badly for as long as operators want front ends elsewhere. What still comes is
+// dealt with as ever: front ends hear of it late.
+func (c *Controller) withdraw(on bool) {
+	c.withdrawn = on
+	if !c.draining {
+		c.unwell, c.healthAt = false, c.now
+		c.emit(Action{Kind: Health, Good: !on, Stored: true})
+	}
+}
+
 // adjustLinks: an open connection takes from the cores and from a table whose size is not told; a new one
 // costs work once. Where a caller comes back well within the time that callers keep an idle one, they stay
 // as callers like; where it seldom does, they go soon, before hundreds of rare callers fill the table.
--- a/decide/state.go
+++ b/decide/state.go
@@ -96,6 +96,7 @@
 	callTime            mean
 	arrivals            decay         // a: all that were read, b: those marked as further tries
 	readWait            mean          // seconds between reaching the machine and being read
+	withdrawn           bool          // by an operator
 	unwell              bool          // health checks are answered badly
 	healthAt            time.Duration // since then
 	idleSaid            time.Duration // idle limit in force
@@ -196,6 +197,8 @@
 		c.callResult(e)
 	case Notice:
 		c.notice(e)
+	case Withdraw, Restore:
+		c.withdraw(e.Kind == Withdraw)
 	case Timer:
 		c.gauges = e.Gauges
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,9 +16,10 @@
 
 // What the environment may set.
 const (
-	envPath   = "GW_CONFIG"
-	envName   = "GW_NAME"
-	envListen = "GW_LISTEN"
+	envPath    = "GW_CONFIG"
+	envName    = "GW_NAME"
+	envListen  = "GW_LISTEN"
+	envConsole = "GW_CONSOLE"
 )
 
 // Defaults of keys that may be absent, and the least values that a server can work with.
@@ -57,6 +58,7 @@
 	Agent    string
 	Store    string
 	Announce string
+	Console  string // where operators call; "" = nowhere
 	Seed     uint64
 	Stop     time.Duration // from SIGTERM to the end of the process
 	Limits   Limits
@@ -100,8 +102,8 @@
 	limits, set := o.object("limits"), o.object("settings")
 	c := &Config{
 		Name: o.text("name"), Listen: o.text("listen"), Agent: o.text("agent"), Store: o.text("store"),
-		Announce: o.text("announce"),
-		Stop:     time.Duration(o.whole("stop_ms")) * time.Millisecond,
+		Announce: o.text("announce"), Console: o.text("console"),
+		Stop: time.Duration(o.whole("stop_ms")) * time.Millisecond,
 		Limits: Limits{Cores: limits.number("cores"), MemoryMB: int(limits.whole("memory_mb")),
 			Sockets: int(limits.whole("sockets"))},
 		Settings: settings(set),
@@ -116,6 +118,9 @@
 	if listen := env(envListen); listen != "" {
 		c.Listen = listen
 	}
+	if console := env(envConsole); console != "" {
+		c.Console = console
+	}
 	c.defaults(o)
 	c.check(o)
 	c.checkSettings(set)
@@ -158,10 +163,12 @@
 		o.fail("name", "missing")
 	}
 	for _, a := range []struct{ key, addr string }{
-		{"listen", c.Listen}, {"agent", c.Agent}, {"store", c.Store}, {"announce", c.Announce}} {
+		{"listen", c.Listen}, {"agent", c.Agent}, {"store", c.Store}, {"announce", c.Announce}, {"console", c.Console}} {
 		if a.addr == "" {
-			o.fail(a.key, "missing")
-		} else if err := checkAddr(a.addr, a.key == "listen"); err != nil {
+			if a.key != "console" {
+				o.fail(a.key, "missing")
+			}
+		} else if err := checkAddr(a.addr, a.key == "listen" || a.key == "console"); err != nil {
 			o.fail(a.key, "%v", err)
 		}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,6 +56,11 @@
 	require.NoError(t, err)
 	require.Equal(t, "n9", c.Name)
 	require.Equal(t, "127.0.0.2:5050", c.Listen)
+	require.Empty(t, c.Console)
+	t.Setenv(envConsole, "127.0.0.2:15000")
+	c, err = Load("")
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.2:15000", c.Console)
 
 	t.Setenv(envPath, "")
 	_, err = Load("")
@@ -73,6 +78,7 @@
 		{`"127.0.0.1:4400"`, `"127.0.0.1"`, "agent:"},
 		{`"127.0.0.1:8900"`, `"127.0.0.1:0"`, "store:"},
 		{`"127.0.0.1:8761"`, `"127.0.0.1:99999"`, "announce:"},
+		{`"name"`, `"console": "here", "name"`, "console:"},
 		{`"8c1f30d27a5be964"`, `"seed"`, "seed:"},
 		{`3200`, `0`, "stop_ms:"},
 		{`3200`, `1.5`, "stop_ms:"},
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,90 @@
+// Package console is the operators' address: a few calls over HTTP that ask one image server how it is and
+// tell it to let front ends go elsewhere.
+package console
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"falldeal/internal/logging"
+
+	"golang.org/x/net/netutil"
+)
+
+const (
+	mostConns = 32 // open at a time, of the descriptors that are left to other things than front ends
+	// callWithin bounds how long a caller may take to send its call: it takes one of those places.
+	callWithin   = time.Second
+	answerWithin = 700 * time.Millisecond // for the server to answer; callers are owed an answer within 1 s
+	writeWithin  = 2 * time.Second
+	maxHeader    = 4 << 10
+)
+
+// Operated is the server that the calls are about.
+type Operated interface {
+	// Ready reports whether this process serves.
+	Ready(ctx context.Context) (bool, error)
+	// AppendFigures appends the figures, a line each.
+	AppendFigures(ctx context.Context, b []byte) ([]byte, error)
+	// Withdraw has health checks answered badly, and Restore well again; both are done when they return.
+	Withdraw(ctx context.Context) error
+	Restore(ctx context.Context) error
+}
+
+// Serve answers calls that come to ln until ctx ends. It closes ln.
+func Serve(ctx context.Context, ln net.Listener, s Operated, warn *logging.Limiter) error {
+	srv := &http.Server{Handler: handler(s), ReadTimeout: callWithin, WriteTimeout: callWithin + writeWithin,
+		MaxHeaderBytes: maxHeader, ErrorLog: log.New(lines{warn}, "", 0)}
+	srv.SetKeepAlivesEnabled(false)
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	if err := srv.Serve(netutil.LimitListener(ln, mostConns)); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// lines takes what the HTTP server has to say of its callers.
+type lines struct{ warn *logging.Limiter }
+
+func (l lines) Write(b []byte) (int, error) {
+	l.warn.Warn("console", "call to the console: "+string(b), nil)
+	return len(b), nil
+}
+
+func handler(s Operated) http.Handler {
+	mux := http.NewServeMux()
+	answer := func(pattern string, do func(context.Context) (int, []byte, error)) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+			defer cancel()
+			code, text, err := do(ctx)
+			if err != nil {
+				code, text = http.StatusServiceUnavailable, []byte(err.Error()+"\n")
+			}
+			w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+			w.WriteHeader(code)
+			_, _ = w.Write(text) // a caller that has gone needs no answer
+		})
+	}
+	answer("GET /ready", func(ctx context.Context) (int, []byte, error) {
+		ready, err := s.Ready(ctx)
+		if err == nil && !ready {
+			return http.StatusServiceUnavailable, []byte("not ready\n"), nil
+		}
+		return http.StatusOK, []byte("ready\n"), err
+	})
+	answer("GET /metrics", func(ctx context.Context) (int, []byte, error) {
+		b, err := s.AppendFigures(ctx, nil)
+		return http.StatusOK, b, err
+	})
+	answer("POST /drain", func(ctx context.Context) (int, []byte, error) {
+		return http.StatusOK, []byte("front ends are sent away\n"), s.Withdraw(ctx)
+	})
+	answer("POST /undrain", func(ctx context.Context) (int, []byte, error) {
+		return http.StatusOK, []byte("front ends are welcome\n"), s.Restore(ctx)
+	})
+	return mux
+}
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -51,7 +51,7 @@
 	}
 	if s.ctl == nil {
 		// The agent is not up, so nothing can be run. No request is sent here before it is.
-		s.stats.Refused++
+		s.count(class, Refused)
 		p.Answer(call, Answer{Kind: Refused})
 		return
 	}
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -18,15 +18,21 @@
 		return
 	}
 	st.used = s.clock.now
-	switch a.Kind {
+	s.count(r.class, a.Kind)
+	r.peer.Answer(r.call, a)
+}
+
+// count counts an answer to a request of a class.
+func (s *Server) count(class int, kind AnswerKind) {
+	n := &s.stats.Answers[class]
+	switch kind {
 	case Served:
-		s.stats.Served++
+		n.Served++
 	case Refused:
-		s.stats.Refused++
+		n.Refused++
 	default:
-		s.stats.Failed++
+		n.Failed++
 	}
-	r.peer.Answer(r.call, a)
 }
 
 // settle notes that no answer is owed to r any more.
--- /dev/null
+++ b/internal/server/operate.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"context"
+	"errors"
+
+	"falldeal/decide"
+	"falldeal/internal/stats"
+)
+
+// What operators ask of a running server. These methods may be called from any goroutine.
+
+var errOver = errors.New("the server is leaving")
+
+// ask has the loop call f, and waits for what it returns.
+func ask[T any](ctx context.Context, s *Server, f func() T) (v T, err error) {
+	got := make(chan T, 1)
+	select {
+	case s.in <- func() { got <- f() }:
+	case <-s.ended:
+		return v, errOver
+	case <-ctx.Done():
+		return v, ctx.Err()
+	}
+	select {
+	case v = <-got:
+		return v, nil
+	case <-s.ended:
+		return v, errOver
+	case <-ctx.Done():
+		return v, ctx.Err()
+	}
+}
+
+// Ready reports whether this process serves and means to go on.
+func (s *Server) Ready(ctx context.Context) (bool, error) {
+	return ask(ctx, s, func() bool { return s.ctl != nil && !s.drain.on && !s.withdrawn })
+}
+
+// AppendFigures appends the operators' figures.
+func (s *Server) AppendFigures(ctx context.Context, b []byte) ([]byte, error) {
+	return ask(ctx, s, func() []byte {
+		open := 0
+		for _, st := range s.peers {
+			open += len(st.open)
+		}
+		return stats.Figures{Classes: s.cfg.Classes, Counters: &s.stats, Open: open}.Append(b)
+	})
+}
+
+// Withdraw has front ends sent away by bad health answers; what still arrives is answered as ever.
+func (s *Server) Withdraw(ctx context.Context) error { return s.setWithdrawn(ctx, true) }
+
+// Restore ends what Withdraw began.
+func (s *Server) Restore(ctx context.Context) error { return s.setWithdrawn(ctx, false) }
+
+func (s *Server) setWithdrawn(ctx context.Context, on bool) error {
+	leaving, err := ask(ctx, s, func() bool {
+		if s.drain.on {
+			return true
+		}
+		if on != s.withdrawn {
+			s.log.WithField("withdrawn", on).Info("told by an operator whether front ends are welcome")
+			s.withdrawn = on
+			s.tellWithdrawn()
+		}
+		return false
+	})
+	if err == nil && leaving {
+		err = errOver
+	}
+	return err
+}
+
+func (s *Server) tellWithdrawn() {
+	kind := decide.Restore
+	if s.withdrawn {
+		kind = decide.Withdraw
+	}
+	s.happened(decide.Event{Kind: kind})
+}
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -65,6 +65,9 @@
 	s.log.WithFields(map[string]any{"state": n.Result, "age": n.Elapsed.String()}).Info("agent is up")
 	s.ctl = ctl
 	s.happened(decide.Event{Kind: decide.Timer, Gauges: unknownGauges}) // the first step
+	if s.withdrawn {
+		s.tellWithdrawn()
+	}
 	if s.drain.on {
 		s.happened(decide.Event{Kind: decide.Notice, At: s.drain.stopAt})
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -66,6 +66,7 @@
 	idle     time.Duration // connections idle for longer are closed; 0 = none
 
 	good, stored bool // health, as the controller wants it answered
+	withdrawn    bool // by an operator
 	exercises    map[string]probe
 	lastToken    uint64
 	gauges       decide.Gauges
@@ -85,6 +86,7 @@
 	for i, name := range cfg.Classes {
 		s.classes[name] = i
 	}
+	s.stats.Answers = make([]stats.Answers, len(cfg.Classes))
 	s.clock.advance()
 	s.agent = agent.New(cfg.Agent, s.post, s.agentNotice, s.warn)
 	s.store = store.New(cfg.Store, cfg.Limits.StoreSockets(), store.Loop{Post: s.post, Now: func() time.Duration { return s.clock.now },
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -8,9 +8,10 @@
 	Connections, ConnectionsClosed uint64 // of front ends; those closed to make room or as idle
 	Silent, Unreadable             uint64 // those ended for saying nothing whole, and nothing of the protocol
 
-	Requests, Repeats, Invalid, Cancelled, Probes uint64 // taken in
-	Runs, Calls, CallsDropped, Skips, Exercises   uint64 // sent
-	Served, Reused, Refused, Failed               uint64 // answered
+	Requests, Repeats, Invalid, Cancelled, Probes uint64    // taken in
+	Runs, Calls, CallsDropped, Skips, Exercises   uint64    // sent
+	Answers                                       []Answers // by class
+	Reused                                        uint64    // of those served, with another try's result
 
 	RunsFailed, RunsInterrupted, RunsMoot, CommandsRefused                    uint64 // what the agent told
 	CallsOK, CallsBusy, CallsFailed, CallsLate, CallsUnreachable, CallsBroken uint64 // how calls ended
@@ -23,12 +24,18 @@
 
 // Print logs all counters and what is in hand.
 func (c *Counters) Print(log logrus.FieldLogger, open, running, keys, peers int) {
+	var all Answers
+	for _, a := range c.Answers {
+		all.Served += a.Served
+		all.Refused += a.Refused
+		all.Failed += a.Failed
+	}
 	log.WithFields(logrus.Fields{
 		"connections": c.Connections, "connections_closed": c.ConnectionsClosed,
 		"silent": c.Silent, "unreadable": c.Unreadable,
 		"requests": c.Requests, "repeats": c.Repeats, "invalid": c.Invalid, "cancelled": c.Cancelled, "probes": c.Probes,
 		"runs": c.Runs, "calls": c.Calls, "calls_dropped": c.CallsDropped, "skips": c.Skips, "exercises": c.Exercises,
-		"served": c.Served, "reused": c.Reused, "refused": c.Refused, "failed": c.Failed,
+		"served": all.Served, "reused": c.Reused, "refused": all.Refused, "failed": all.Failed,
 		"runs_failed": c.RunsFailed, "runs_interrupted": c.RunsInterrupted, "runs_moot": c.RunsMoot,
 		"commands_refused": c.CommandsRefused,
 		"calls_ok":         c.CallsOK, "calls_busy": c.CallsBusy, "calls_failed": c.CallsFailed, "calls_late": c.CallsLate,
