Take over new settings on SIGHUP; classes come and go while requests run

Checked with a probe (not committed) that logged each file as it was read: the lists of classes change in length and order, the first bad file has a deadline of -5, the second lacks 'settings'; both were turned down already. The first try after the change found one more fault in the log: 'field once: known with another class or body'. A request that is tried again comes under the new name of its class with its old key, so the digest of keys.go must not hold the class; the protocol asks for the same body only.

A file that lacks a key which the one in force has is turned down.

--- a/cmd/falldeal/main.go
+++ b/cmd/falldeal/main.go
@@ -123,6 +123,7 @@
 	over := make(chan error, 1)
 	go func() { over <- s.Run(ctx, front) }()
 
+	inForce := c
 	var late <-chan time.Time
 	for {
 		select {
@@ -131,7 +132,11 @@
 			case syscall.SIGUSR1:
 				s.PrintStats()
 			case syscall.SIGHUP:
-				s.Reload(config.Load(path))
+				next, err := inForce.Successor(path)
+				if err == nil {
+					inForce = next
+				}
+				s.Reload(next, err)
 			default:
 				if late == nil {
 					late = time.After(max(c.Stop-exitSpare, 0))
--- a/decide/api.go
+++ b/decide/api.go
@@ -61,6 +61,7 @@
 	LateWorth float64       // share of the worth between Aim and Deadline
 	Calls     bool          // its requests may call below
 	SkipWorth float64       // share of the worth when a call was left out; 0 forbids Skip
+	Gone      bool          // it is no longer asked for, but for what is under way
 }
 
 // Tenant is one party that shares the servers.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -209,7 +210,7 @@
 	pressed := c.gauges.CoreUse > pressedUse || c.gauges.OnCores > pressedQueue*float64(c.s.Cores)
 	late := false
 	for i := range c.classes {
-		late = late || c.classes[i].latency.or(0) > c.s.Classes[i].Aim.Seconds()
+		late = late || !c.s.Classes[i].Gone && c.classes[i].latency.or(0) > c.s.Classes[i].Aim.Seconds()
 	}
 	if pressed && late {
 		c.share = max(c.share*shareDown, shareFloor)
@@ -800,9 +801,11 @@
 
 // shortest is the shortest aim of all classes.
 func (c *Controller) shortest() time.Duration {
-	aim := c.s.Classes[0].Aim
+	aim := time.Duration(math.MaxInt64)
 	for _, k := range c.s.Classes {
-		aim = min(aim, k.Aim)
+		if !k.Gone {
+			aim = min(aim, k.Aim)
+		}
 	}
 	return aim
 }
@@ -881,16 +884,33 @@
 	if s.Cold {
 		c.speed.a *= max(s.ColdShare, coldLeast)
 	}
-	c.classes = make([]classState, len(s.Classes))
 	c.arrivals.tau, c.idleSaid = offeredMemory, s.IdleAfter
-	c.tenants = make([]tenantState, max(len(s.Tenants), 1))
-	for i := range c.tenants {
-		c.tenants[i].offered.tau, c.tenants[i].factor = offeredMemory, 1
-	}
+	c.makeRoom()
 	c.weigh()
 	return c, nil
 }
 
+// Retune takes over new settings while requests are in hand. Classes are known by their places: those
+// that there were stay where they are, and new ones follow. A server is cold once, at its start.
+func (c *Controller) Retune(s Settings) error {
+	if err := s.check(); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if len(s.Classes) < len(c.classes) {
+		return fmt.Errorf("settings: Classes: %d of %d left", len(s.Classes), len(c.classes))
+	}
+	s.Cold = c.s.Cold
+	if s.CallsOver != c.s.CallsOver {
+		c.inCalls = newRing(max(s.CallsOver, time.Second), callsBuckets)
+		c.inCalls.advance(c.now)
+	}
+	c.s = s
+	c.makeRoom()
+	c.weigh()
+	c.recount()
+	return nil
+}
+
 // Step takes the events of one batch, all at now, and appends the actions that answer them. A batch
 // without events is legal; the first one may be empty and starts the timers.
 func (c *Controller) Step(now time.Duration, events []Event, actions []Action) []Action {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -634,3 +634,31 @@
 		t.Error("a server that leaves came back")
 	}
 }
+
+// New settings must not touch what runs, and the sums that they enter must fit again.
+func TestRetune(t *testing.T) {
+	c := start(t, settings())
+	want(t, c.Step(0, []Event{req(1, 1)}, nil), Run, 1)
+	s := settings()
+	s.Classes[1].Gone = true
+	s.Classes = append(s.Classes, Class{Aim: time.Second, Deadline: 2 * time.Second, Value: 1})
+	s.RunBlow, s.KeyKB, s.CallsOver = 8, 20, time.Second
+	if err := c.Retune(s); err != nil {
+		t.Fatal(err)
+	}
+	if c.memory != 8*10+20 {
+		t.Errorf("memory %v after new settings", c.memory)
+	}
+	want(t, c.Step(100*ms, []Event{req(2, 4)}, nil), Run, 2)
+	c.Step(200*ms, []Event{{Kind: Done, ID: 1, Took: 200 * ms}, {Kind: Done, ID: 2, Took: 100 * ms}}, nil)
+	if c.runs != 0 || c.memory != 20 {
+		t.Errorf("%d runs and memory %v after all ended", c.runs, c.memory)
+	}
+	if c.Retune(settings()) == nil {
+		t.Error("a class of requests that may be in hand was left out")
+	}
+	s.Cores = 0
+	if c.Retune(s) == nil || c.s.Cores == 0 {
+		t.Error("settings that make no sense were taken over")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -104,7 +104,7 @@
 
 	memory                         float64
 	runs, onCores, inHand, lingers int // runs in all, on the cores, calls in hand, abandoned ones
-	heldN, waitN, entryN           int
+	heldN, waitN                   int
 	heldWork, runWork              float64
 	gauges                         Gauges
 	logs                           [5]condition // what the operators were told last
@@ -149,6 +149,25 @@
 	}
 }
 
+// makeRoom has a place for each class and tenant of the settings.
+func (c *Controller) makeRoom() {
+	c.classes = append(c.classes, make([]classState, len(c.s.Classes)-len(c.classes))...)
+	for len(c.tenants) < max(len(c.s.Tenants), 1) {
+		c.tenants = append(c.tenants, tenantState{offered: decay{tau: offeredMemory}, factor: 1})
+	}
+}
+
+// recount sums up the memory anew, which depends on the settings.
+func (c *Controller) recount() {
+	c.memory = float64(len(c.entries)) * c.s.KeyKB
+	for _, j := range c.jobs {
+		c.memory += j.kb
+		if j.state >= running {
+			c.memory += (c.s.RunBlow - 1) * j.kb
+		}
+	}
+}
+
 func (c *Controller) emit(a Action) { c.out = append(c.out, a) }
 
 func seconds(v float64) time.Duration { return time.Duration(min(v, 1e6) * float64(time.Second)) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,8 +4,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -65,6 +67,8 @@
 	Settings decide.Settings
 	Classes  []string // names, in the order of Settings.Classes
 	Gauges   []string // names, in the order in which the agent reports them
+
+	keys map[string]bool // that were given, by their paths
 }
 
 // Load reads the file at path, or at GW_CONFIG where path is empty. GW_NAME and GW_LISTEN, where
@@ -125,12 +129,29 @@
 	c.check(o)
 	c.checkSettings(set)
 	c.Seed = o.hex("seed")
+	c.keys = map[string]bool{}
+	o.eachKey(func(key string) { c.keys[key] = true })
 	if err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
+// Successor reads the file at path for a process that runs with c. It fails on a key that c was given and the
+// file lacks: that is a file cut short or half written, not a wish for the default.
+func (c *Config) Successor(path string) (*Config, error) {
+	next, err := Load(path)
+	if err != nil {
+		return nil, err
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.keys)) {
+		if !next.keys[key] {
+			return nil, fmt.Errorf("configuration: %s: missing, and given in the one in force", key)
+		}
+	}
+	return next, nil
+}
+
 // defaults fills in keys that are absent; one that is there must make sense.
 func (c *Config) defaults(o object) {
 	limits := o.object("limits")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -125,3 +125,34 @@
 		}
 	})
 }
+
+// A file that is being written, or lost a part, must not be taken for one that wants the defaults.
+func TestSuccessor(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	inForce, err := Parse([]byte(read(t)), none)
+	require.NoError(t, err)
+	for _, c := range []struct{ old, new, key string }{
+		{"", "", ""},
+		{`"preview"`, `"poster"`, ""},
+		{`[true, false, true]`, `[true, true, true]`, ""},
+		{`"seed": "8c1f30d27a5be964",`, ``, "seed: missing"},
+		{`"memory_mb": 192, `, ``, "limits.memory_mb: missing"},
+		{`"KbPerKey": 73.43, `, ``, "settings.FamilyInfo.KbPerKey: missing"},
+		{`"LateWorth": 0.2, "Name": "preview"`, `"Name": "preview"`, "settings.Lanes[].LateWorth: missing"},
+		{`"stop_ms": 3200`, `"stop_ms": 3200, "more": 1`, ""},
+		{`"DeadlineUs": 7000000`, `"DeadlineUs": "7000000"`, "settings.Lanes[0].DeadlineUs:"},
+	} {
+		require.NoError(t, os.WriteFile(path, []byte(strings.Replace(read(t), c.old, c.new, 1)), 0o600))
+		_, err := inForce.Successor(path)
+		if c.key == "" {
+			require.NoError(t, err, c.new)
+			continue
+		}
+		require.ErrorContains(t, err, c.key)
+	}
+	for _, text := range []string{"", read(t)[:len(read(t))/2]} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := inForce.Successor(path)
+		require.Error(t, err)
+	}
+}
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -61,6 +61,29 @@
 	return list
 }
 
+// eachKey calls f with the path of every key. The objects of a list count as one, whose keys are those that
+// all of them have.
+func (o object) eachKey(f func(key string)) {
+	o.value.GetObject().Visit(func(k []byte, v *fastjson.Value) {
+		name := string(k)
+		f(o.key(name))
+		switch v.Type() {
+		case fastjson.TypeObject:
+			object{value: v, path: o.key(name)}.eachKey(f)
+		case fastjson.TypeArray:
+			had := map[string]int{}
+			for _, item := range v.GetArray() {
+				object{value: item, path: o.key(name) + "[]"}.eachKey(func(key string) { had[key]++ })
+			}
+			for key, n := range had {
+				if n == len(v.GetArray()) {
+					f(key)
+				}
+			}
+		}
+	})
+}
+
 func (o object) list(name string) []*fastjson.Value {
 	if v := o.get(name, fastjson.TypeArray); v != nil {
 		return v.GetArray()
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -14,7 +14,7 @@
 	errAt         = errors.New("field at: too long ago for a request of the class, or ahead of the clock")
 	errWait       = errors.New("field wait: longer than the deadline of the class")
 	errNoOnce     = errors.New("field once: missing in a class whose requests must run once")
-	errOtherOrder = errors.New("field once: known with another class or body")
+	errOtherOrder = errors.New("field once: known with another body")
 )
 
 // earlyMost and lateSpare bound what time a request may give as that of its arrival: a little ahead of
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -24,7 +24,7 @@
 
 // count counts an answer to a request of a class.
 func (s *Server) count(class int, kind AnswerKind) {
-	n := &s.stats.Answers[class]
+	n := s.stats.Name(s.cfg.Classes[class])
 	switch kind {
 	case Served:
 		n.Served++
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -42,15 +42,9 @@
 		seed: maphash.MakeSeed()}
 }
 
-// digest stands for what t asks for. All tries of one request carry the same class and body.
-func (t *keyTable) digest(try Try) uint64 {
-	var h maphash.Hash
-	h.SetSeed(t.seed)
-	h.WriteString(try.Class)
-	h.WriteByte(0)
-	h.Write(try.Body)
-	return h.Sum64()
-}
+// digest stands for what a try asks for. All tries of one request carry the same body; the class may have got
+// another name since the first.
+func (t *keyTable) digest(try Try) uint64 { return maphash.Bytes(t.seed, try.Body) }
 
 // conflicts reports whether the key of r is that of a known request which asks for something else. The
 // result of that one is nothing for the sender of r.
--- a/internal/server/operate.go
+++ b/internal/server/operate.go
@@ -44,7 +44,7 @@
 		for _, st := range s.peers {
 			open += len(st.open)
 		}
-		return stats.Figures{Classes: s.cfg.Classes, Counters: &s.stats, Open: open}.Append(b)
+		return stats.Figures{Counters: &s.stats, Open: open}.Append(b)
 	})
 }
 
--- /dev/null
+++ b/internal/server/reload_test.go
@@ -0,0 +1,104 @@
+package server
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"falldeal/decide"
+	"falldeal/internal/agent"
+
+	"github.com/stretchr/testify/require"
+)
+
+// New settings count at once and for what comes: a class that is gone keeps what is under way and takes in
+// what its front ends, who hear of it late, still send; one that is new is served like any other.
+func TestRetune(t *testing.T) {
+	s, do := idle(t)
+	s.greeted(agent.Notice{Kind: agent.Greeting, Result: agent.Steady})
+	n := uint32(0)
+	var got []any
+	submit := func(class string) *request {
+		n++
+		p := &peer{}
+		s.Opened(p)
+		id := string(rune('a' + n))
+		s.Submit(p, n, Try{ID: id, Once: id, Class: class, At: s.clock.now, Wait: time.Second, KB: 1})
+		do()
+		s.step()
+		return s.byWire[id]
+	}
+	old := submit("licence-order")
+	require.True(t, old.running)
+
+	fresh := *s.cfg
+	fresh.Classes = []string{"poster", "preview", "hires-crop"}
+	set := s.cfg.Settings
+	set.Classes = []decide.Class{set.Classes[2], set.Classes[0], set.Classes[1]}
+	set.Cores++
+	fresh.Settings = set
+	s.Reload(&fresh, nil)
+	do()
+	require.Equal(t, []string{"preview", "hires-crop", "licence-order", "poster"}, s.cfg.Classes)
+	require.Equal(t, set.Cores, s.cfg.Settings.Cores)
+	require.Equal(t, "licence-order", s.cfg.Classes[old.class])
+	added := submit("poster")
+	require.True(t, added.running)
+	require.Equal(t, 3, added.class)
+	late := submit("licence-order")
+	require.True(t, late.running)
+	for _, r := range []*request{old, added, late} {
+		s.finish(r, decide.OK, nil)
+		got = append(got, r.peer.(*peer).got...)
+	}
+	require.Equal(t, []any{Served, Served, Served}, got)
+	require.EqualValues(t, 2, s.stats.Answers["licence-order"].Served)
+	require.EqualValues(t, 1, s.stats.Answers["poster"].Served)
+
+	// In the end a class that is gone is unknown, and one that comes back has its place again.
+	s.clock.now += s.lateMost(2)
+	s.deadlines.Sweep(s.clock.now)
+	require.Nil(t, submit("licence-order"))
+	back := *s.cfg
+	back.Classes, back.Settings.Classes = fresh.Classes[:1], set.Classes[:1]
+	back.Classes = []string{"licence-order"}
+	s.Reload(&back, nil)
+	do()
+	require.Equal(t, 2, submit("licence-order").class)
+
+	s.Reload(nil, errors.New("no such key"))
+	do()
+	require.EqualValues(t, 2, s.stats.Reloads)
+	require.EqualValues(t, 1, s.stats.ReloadsFailed)
+}
+
+// A class whose requests may not be repeated as before is another class to what is in hand.
+func TestClassChangesItsKind(t *testing.T) {
+	all, names := placeClasses([]decide.Class{{Safety: decide.Keyed}}, []decide.Class{{Safety: decide.Safe}},
+		[]string{"order"}, []string{"order"})
+	require.Equal(t, []decide.Class{{Safety: decide.Keyed, Gone: true}, {Safety: decide.Safe}}, all)
+	require.Equal(t, []string{"order", "order"}, names)
+}
+
+// When a class gets another name, a request that is tried again comes under the new one with the old key.
+func TestTriedAgainUnderAnotherName(t *testing.T) {
+	s, do := idle(t)
+	s.greeted(agent.Notice{Kind: agent.Greeting, Result: agent.Steady})
+	p := &peer{}
+	s.Opened(p)
+	submit := func(call uint32, class string) {
+		s.Submit(p, call, Try{ID: string(rune('a' + call)), Once: "k", Class: class, At: s.clock.now, Wait: time.Second,
+			KB: 1, Body: []byte("order")})
+		do()
+		s.step()
+	}
+	submit(1, "licence-order")
+	fresh := *s.cfg
+	fresh.Classes = []string{"preview", "hires-crop", "order"}
+	s.Reload(&fresh, nil)
+	do()
+	submit(2, "order")
+	s.finish(s.byWire["b"], decide.OK, nil)
+	require.Equal(t, []any{Served, Served}, p.got)
+	require.EqualValues(t, 1, s.stats.Runs)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -83,10 +83,9 @@
 		classes: map[string]int{}, requests: map[decide.RequestID]*request{}, byWire: map[string]*request{},
 		keys: newKeyTable(cfg.Limits.MemoryMB), peers: map[Peer]*peerState{}, exercises: map[string]probe{}, idle: cfg.Settings.IdleAfter,
 		gauges: unknownGauges}
-	for i, name := range cfg.Classes {
-		s.classes[name] = i
+	for i := range cfg.Classes {
+		s.enlist(i)
 	}
-	s.stats.Answers = make([]stats.Answers, len(cfg.Classes))
 	s.clock.advance()
 	s.agent = agent.New(cfg.Agent, s.post, s.agentNotice, s.warn)
 	s.store = store.New(cfg.Store, cfg.Limits.StoreSockets(), store.Loop{Post: s.post, Now: func() time.Duration { return s.clock.now },
@@ -174,24 +173,6 @@
 	}
 }
 
-// Reload takes over what a new configuration says of where the peers are; err says why there is none,
-// and then all stays as it is. Runs go on either way.
-func (s *Server) Reload(c *config.Config, err error) {
-	s.post(func() {
-		if err != nil {
-			s.stats.ReloadsFailed++
-			s.log.WithError(err).Error("configuration not taken over; the one in force stays")
-			return
-		}
-		s.stats.Reloads++
-		s.log.WithFields(logrus.Fields{"agent": c.Agent, "store": c.Store, "announce": c.Announce}).
-			Info("addresses of the peers taken over; other keys count from the next start")
-		s.agent.Move(c.Agent)
-		s.store.Move(c.Store)
-		s.announcer.Move(c.Announce)
-	})
-}
-
 // PrintStats logs the counters.
 func (s *Server) PrintStats() { s.post(s.printStats) }
 
--- a/internal/stats/figures.go
+++ b/internal/stats/figures.go
@@ -1,6 +1,8 @@
 package stats
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -10,7 +12,6 @@
 
 // Figures are what operators watch while a server runs.
 type Figures struct {
-	Classes []string // names
 	*Counters
 	Open int // requests taken and not answered yet
 }
@@ -22,8 +23,8 @@
 		b = append(strconv.AppendUint(append(b, ':'), v, 10), '|')
 		b = append(append(b, kind...), '\n')
 	}
-	for i, name := range f.Classes {
-		a := f.Answers[i]
+	for _, name := range slices.Sorted(maps.Keys(f.Answers)) {
+		a := f.Answers[name]
 		under := "calls." + word(name) + "."
 		line(under+"success", a.Served, "c")
 		line(under+"busy", a.Refused, "c")
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -8,10 +8,10 @@
 	Connections, ConnectionsClosed uint64 // of front ends; those closed to make room or as idle
 	Silent, Unreadable             uint64 // those ended for saying nothing whole, and nothing of the protocol
 
-	Requests, Repeats, Invalid, Cancelled, Probes uint64    // taken in
-	Runs, Calls, CallsDropped, Skips, Exercises   uint64    // sent
-	Answers                                       []Answers // by class
-	Reused                                        uint64    // of those served, with another try's result
+	Requests, Repeats, Invalid, Cancelled, Probes uint64              // taken in
+	Runs, Calls, CallsDropped, Skips, Exercises   uint64              // sent
+	Answers                                       map[string]*Answers // by the name of the class
+	Reused                                        uint64              // of those served, with another try's result
 
 	RunsFailed, RunsInterrupted, RunsMoot, CommandsRefused                    uint64 // what the agent told
 	CallsOK, CallsBusy, CallsFailed, CallsLate, CallsUnreachable, CallsBroken uint64 // how calls ended
@@ -22,6 +22,19 @@
 	Turns                  uint64 // of the loop
 }
 
+// Name returns what is counted for the class of that name.
+func (c *Counters) Name(class string) *Answers {
+	a := c.Answers[class]
+	if a == nil {
+		if c.Answers == nil {
+			c.Answers = map[string]*Answers{}
+		}
+		a = &Answers{}
+		c.Answers[class] = a
+	}
+	return a
+}
+
 // Print logs all counters and what is in hand.
 func (c *Counters) Print(log logrus.FieldLogger, open, running, keys, peers int) {
 	var all Answers
