Let a newer process take over the listening socket and the keys of the older one

The newer process accepts once its agent has greeted and the older one's keys are known; from then until the older one has ended it claims each new key there first. SIGTERM to a process with a successor closes its listener, leaves health and the list alone and ends it when its front ends have gone. A connection is made known to the loop before the listener is done, so none is left unread.

Ruled out by test: a run in both processes whichever way tries come (TestReplace on real sockets, and the tables of messages in internal/server), a run under a key that the older process took to its end.

Failed on the way: hold told of a key again with each Keep; it now tells of changes only.

--- a/cmd/falldeal/main.go
+++ b/cmd/falldeal/main.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// listen opens the socket for front ends, or takes over the one that was left open for this process.
+func listen(c *config.Config, log *logging.Limiter) (*msgpackrpc.Front, error) {
+	if c.Inherited != 0 {
+		return msgpackrpc.Inherit(c.Inherited, c.Limits.FrontSockets(), log)
+	}
+	return msgpackrpc.Listen(c.Listen, c.Limits.FrontSockets(), log)
+}
+
 // serve runs the server until a drain is over. Whatever then still hangs on a socket does not keep
 // the process past its time.
 func serve(c *config.Config, path string, log *logrus.Logger) error {
@@ -101,7 +109,7 @@
 	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB<<20)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	front, err := msgpackrpc.Listen(c.Listen, c.Limits.FrontSockets(), logging.NewLimiter(log))
+	front, err := listen(c, logging.NewLimiter(log))
 	if err != nil {
 		return err
 	}
--- a/decide/api.go
+++ b/decide/api.go
@@ -175,8 +175,9 @@
 	Outcome Outcome       // Done, CallResult
 	Took    time.Duration // Done, CallResult
 
-	At     time.Duration // Notice: when the process ends
-	Gauges Gauges        // Timer
+	At       time.Duration // Notice: when the process ends
+	Replaced bool          // Notice: another process of this server goes on; health stays
+	Gauges   Gauges        // Timer
 }
 
 // ActionKind tells actions apart.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -719,8 +719,11 @@
 		j := c.jobs[id]
 		c.dues.push(c.answerBy(j), due{dueAnswer, j, id})
 	}
-	c.emit(Action{Kind: Health, Good: false, Stored: true})
 	c.emit(Action{Kind: Log, Text: "drain begins"})
+	if e.Replaced {
+		return
+	}
+	c.emit(Action{Kind: Health, Good: false, Stored: true})
 	switch c.s.Advert {
 	case AdvertLevel:
 		c.emit(Action{Kind: Advertise, Value: 1}) // no request ranks above it
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -635,6 +635,21 @@
 	}
 }
 
+// A process that another one replaces ends what it has, but the server stays: nobody is to be sent elsewhere.
+func TestReplaced(t *testing.T) {
+	c := start(t, settings())
+	as := c.Step(0, []Event{req(1, 0), {Kind: Notice, At: 3 * time.Second, Replaced: true}}, nil)
+	want(t, as, Run, 1)
+	if find(as, Health, 0) != nil {
+		t.Error("health changed though the server stays")
+	}
+	as = nil
+	for now := time.Duration(0); now < 3*time.Second; now += 5 * ms {
+		as = c.Step(now, nil, as)
+	}
+	want(t, as, Fail, 1)
+}
+
 // New settings must not touch what runs, and the sums that they enter must fit again.
 func TestRetune(t *testing.T) {
 	c := start(t, settings())
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -19,6 +19,7 @@
 	name    string
 	log     *logging.Limiter
 	known   bool // now holds something to report
+	silent  bool
 	now     report
 	reports chan report
 }
@@ -48,7 +49,17 @@
 	}
 }
 
+// Silence ends all reports: another process makes them.
+func (a *Announcer) Silence() {
+	a.now.addr = ""
+	a.tell()
+	a.silent = true
+}
+
 func (a *Announcer) tell() {
+	if a.silent {
+		return
+	}
 	select {
 	case <-a.reports: // not sent yet, and out of date
 	default:
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -45,3 +45,14 @@
 	cancel()
 	require.NoError(t, <-over)
 }
+
+// When another process goes on, what this one thinks of itself is no news any more.
+func TestSilence(t *testing.T) {
+	a := New("127.0.0.1:9", "n3", nil)
+	a.Set(true)
+	a.Silence()
+	a.Set(false)
+	a.Move("127.0.0.1:10")
+	require.Empty(t, (<-a.reports).addr)
+	require.Empty(t, a.reports)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"time"
@@ -18,15 +19,21 @@
 
 // What the environment may set.
 const (
-	envPath    = "GW_CONFIG"
-	envName    = "GW_NAME"
-	envListen  = "GW_LISTEN"
-	envConsole = "GW_CONSOLE"
+	envPath      = "GW_CONFIG"
+	envName      = "GW_NAME"
+	envListen    = "GW_LISTEN"
+	envConsole   = "GW_CONSOLE"
+	envInherited = "GW_INHERITED_FD"
 )
 
 // Defaults of keys that may be absent, and the least values that a server can work with.
 const (
-	defaultStop     = 3200 * time.Millisecond
+	defaultStop = 3200 * time.Millisecond
+
+	// A process that was replaced is given the longest deadline, up to replacedWait, and some time to end.
+	replacedWait  = 3 * time.Second
+	replacedSpare = 700 * time.Millisecond
+
 	defaultCores    = 1.0
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
@@ -55,18 +62,21 @@
 
 // Config is what an image server is told at its start.
 type Config struct {
-	Name     string // under which the announce service lists it
-	Listen   string
-	Agent    string
-	Store    string
-	Announce string
-	Console  string // where operators call; "" = nowhere
-	Seed     uint64
-	Stop     time.Duration // from SIGTERM to the end of the process
-	Limits   Limits
-	Settings decide.Settings
-	Classes  []string // names, in the order of Settings.Classes
-	Gauges   []string // names, in the order in which the agent reports them
+	Name         string // under which the announce service lists it
+	Listen       string
+	Agent        string
+	Store        string
+	Announce     string
+	Console      string  // where operators call; "" = nowhere
+	Inherited    uintptr // descriptor of a socket that listens for front ends already; 0 = none
+	Handover     string  // path at which the processes of one image server meet; "" = there is only one
+	Seed         uint64
+	Stop         time.Duration // from SIGTERM to the end of the process
+	StopReplaced time.Duration // the same where a newer process has taken its place
+	Limits       Limits
+	Settings     decide.Settings
+	Classes      []string // names, in the order of Settings.Classes
+	Gauges       []string // names, in the order in which the agent reports them
 
 	keys map[string]bool // that were given, by their paths
 }
@@ -125,10 +135,20 @@
 	if console := env(envConsole); console != "" {
 		c.Console = console
 	}
+	if text := env(envInherited); text != "" {
+		fd, err := strconv.ParseUint(text, 10, 16)
+		if err != nil || fd == 0 {
+			return nil, fmt.Errorf("%s: %q is no descriptor", envInherited, text)
+		}
+		c.Inherited, c.Handover = uintptr(fd), filepath.Join(os.TempDir(), "falldeal.sock")
+	}
 	c.defaults(o)
 	c.check(o)
 	c.checkSettings(set)
 	c.Seed = o.hex("seed")
+	for _, k := range c.Settings.Classes {
+		c.StopReplaced = max(c.StopReplaced, min(k.Deadline, replacedWait)+replacedSpare)
+	}
 	c.keys = map[string]bool{}
 	o.eachKey(func(key string) { c.keys[key] = true })
 	if err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -62,10 +62,23 @@
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.2:15000", c.Console)
 
+	require.Empty(t, c.Handover)
+	t.Setenv(envInherited, "3")
+	dir := t.TempDir()
+	t.Setenv("TMPDIR", dir)
+	c, err = Load("")
+	require.NoError(t, err)
+	require.EqualValues(t, 3, c.Inherited)
+	require.Equal(t, filepath.Join(dir, "falldeal.sock"), c.Handover)
+	require.Equal(t, replacedWait+replacedSpare, c.StopReplaced)
+	t.Setenv(envInherited, "stdin")
+	_, err = Load("")
+	require.ErrorContains(t, err, envInherited)
+
 	t.Setenv(envPath, "")
 	_, err = Load("")
 	require.ErrorContains(t, err, envPath)
-	_, err = Load(filepath.Join(t.TempDir(), "absent"))
+	_, err = Load(filepath.Join(dir, "absent"))
 	require.Error(t, err)
 }
 
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -33,6 +33,17 @@
 	return &Front{ln: ln, slots: make(chan struct{}, most), log: log}, nil
 }
 
+// Inherit opens a Front on a socket that listens already and was left open for this process.
+func Inherit(fd uintptr, most int, log *logging.Limiter) (*Front, error) {
+	f := os.NewFile(fd, "inherited socket")
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("inherited socket %d: %w", fd, err)
+	}
+	return &Front{ln: ln, slots: make(chan struct{}, most), log: log}, nil
+}
+
 // Addr is where the Front listens.
 func (f *Front) Addr() net.Addr { return f.ln.Addr() }
 
@@ -67,6 +78,7 @@
 }
 
 func (f *Front) start(ctx context.Context, g *errgroup.Group, c *conn, s *server.Server) {
+	s.Opened(c) // before Serve returns: then no connection is left that the server does not know
 	g.Go(func() error {
 		defer context.AfterFunc(ctx, c.Close)()
 		_ = c.Run() // the reader tells of a connection that broke
@@ -74,7 +86,6 @@
 		return nil
 	})
 	g.Go(func() error {
-		s.Opened(c)
 		err := c.read(s)
 		if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 			f.log.Warn("front end", "connection of a front end ended", err)
--- a/internal/msgpackrpc/peers_test.go
+++ b/internal/msgpackrpc/peers_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,6 +58,14 @@
 
 // start runs an image server with the sample configuration, in which each old text is replaced.
 func start(t *testing.T, oldNew ...string) *peers {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return startAt(t, ln, "", oldNew...)
+}
+
+// startAt runs one on a socket that listens already, as one of the processes that meet at path.
+func startAt(t *testing.T, ln net.Listener, path string, oldNew ...string) *peers {
 	p := &peers{T: t, over: make(chan error, 1), commands: make(chan command, 100), samples: make(chan struct{}),
 		greet: make(chan string, 1), calls: make(chan storeCall, 10)}
 	text, err := os.ReadFile("../config/testdata/config.json")
@@ -71,8 +80,14 @@
 	store, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	cfg.Agent, cfg.Store = agent.Addr().String(), store.Addr().String()
+	cfg.Handover, cfg.StopReplaced = path, time.Hour
 	log, _ := test.NewNullLogger()
-	front, err := Listen("127.0.0.1:0", cfg.Limits.FrontSockets(), logging.NewLimiter(log))
+	file, err := ln.(*net.TCPListener).File()
+	require.NoError(t, err)
+	defer file.Close()
+	fd, err := syscall.Dup(int(file.Fd()))
+	require.NoError(t, err)
+	front, err := Inherit(uintptr(fd), cfg.Limits.FrontSockets(), logging.NewLimiter(log))
 	require.NoError(t, err)
 	p.addr = front.Addr().String()
 	p.server = server.New(cfg, log)
@@ -256,3 +271,19 @@
 	require.Error(f, err, "%v", v)
 	require.NotErrorIs(f, err, os.ErrDeadlineExceeded)
 }
+
+// expectClosing reads the notification that the connection is closing.
+func (f *front) expectClosing() {
+	f.Helper()
+	v, err := f.in.next()
+	require.NoError(f, err)
+	require.Equal(f, arrayValue{int64(kindNotification), methodClosing, arrayValue{}}, v)
+}
+
+// closing makes a health check on a new connection, and reports whether it is closing instead.
+func (f *front) closing() bool {
+	f.write(appendProbe(1, nil))
+	v, err := f.in.next()
+	require.NoError(f, err)
+	return v.(arrayValue)[0] == int64(kindNotification)
+}
--- a/internal/msgpackrpc/rules_test.go
+++ b/internal/msgpackrpc/rules_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -85,6 +87,49 @@
 	p.expect("launch", again)
 }
 
+// A newer process takes the place of this one: no connection is refused or left unread, what each has read it
+// answers, and a keyed request is run by one of them, whose result answers tries at both.
+func TestReplace(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	path := filepath.Join(t.TempDir(), "s")
+	older := startAt(t, ln, path, `"stop_ms": 3200`, `"stop_ms": 3000000`)
+	require.Eventually(t, func() bool { _, err := os.Stat(path); return err == nil }, patience, time.Millisecond)
+	f := older.dial()
+	run := f.send("licence-order", "a", "once", "aa")
+	older.expect("launch", run)
+	newer := startAt(t, ln, path)
+	newer.tries = 100 // ids are new with every try
+	older.server.Drain()
+	f.expectClosing()
+	g := newer.dial()
+	for g.closing() { // the older one took it just before
+		g.net.Close()
+		g = newer.dial()
+	}
+	g.next = 1
+	g.send("licence-order", "a", "once", "aa")
+	newer.quiet()
+	older.tell("outcome", run, "success", []byte("done"))
+	f.expectAnswer(1, "done")
+	g.expectAnswer(2, "done")
+
+	crossing := g.send("licence-order", "b", "once", "bb")
+	newer.expect("launch", crossing)
+	f.send("licence-order", "b", "once", "bb")
+	older.quiet()
+	newer.tell("outcome", crossing, "success", []byte("other"))
+	g.expectAnswer(3, "other")
+	f.expectAnswer(2, "other")
+	f.net.Close()
+	require.NoError(t, await(older, older.over, "end of the older process"))
+
+	g.send("licence-order", "a", "once", "aa")
+	g.expectAnswer(4, "done")
+	newer.quiet()
+}
+
 // Drain: what was read is answered, what arrives after the grace is not run, and the server ends.
 func TestDrain(t *testing.T) {
 	p := start(t, `"stop_ms": 3200`, `"stop_ms": 60000`, `"StopSendingWithinUs": 2500000`, `"StopSendingWithinUs": 1`)
@@ -94,11 +139,8 @@
 	p.expect("launch", run)
 	p.server.Drain()
 	p.server.Drain()
-	for _, c := range []*front{f, idle} {
-		v, err := c.in.next()
-		require.NoError(t, err)
-		require.Equal(t, arrayValue{int64(kindNotification), methodClosing, arrayValue{}}, v)
-	}
+	f.expectClosing()
+	idle.expectClosing()
 	idle.net.Close()
 	f.send("preview", "too late", "at", fmt.Sprint(time.Now().Add(time.Second).UnixMilli()))
 	f.expectAnswer(2, errRefused)
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -57,15 +57,30 @@
 	}
 	r := &request{id: s.lastID + 1, try: t, class: class, peer: p, call: call}
 	r.window = s.cfg.Settings.Classes[class].KeyWindow
-	if keyed && s.keys.conflicts(r) {
-		s.invalid(p, call, errOtherOrder)
-		return
-	}
 	s.lastID = r.id
 	s.requests[r.id], s.byWire[t.ID], s.peers[p].open[call] = r, r, r
-	e := decide.Event{Kind: decide.Request, ID: r.id, Class: class, Caller: t.Caller, MemoryKB: t.KB,
-		Hint: t.Cost, HasKey: t.Key != "", Rank: t.Rank, Due: at + t.Wait, Waited: max(s.clock.now-at, 0)}
-	if keyed {
+	if keyed && s.older != nil && s.keys.known(r) == nil {
+		s.claim(r)
+		return
+	}
+	s.enter(r)
+}
+
+// due is when the caller of r gives up.
+func (s *Server) due(r *request) time.Duration { return s.clock.own(r.try.At) + r.try.Wait }
+
+// enter puts r before the controller.
+func (s *Server) enter(r *request) {
+	t := &r.try
+	e := decide.Event{Kind: decide.Request, ID: r.id, Class: r.class, Caller: t.Caller, MemoryKB: t.KB, Hint: t.Cost,
+		HasKey: t.Key != "", Rank: t.Rank, Due: s.due(r), Waited: max(s.clock.now-s.clock.own(t.At), 0)}
+	if s.cfg.Settings.Classes[r.class].Safety == decide.Keyed {
+		if s.keys.conflicts(r) {
+			s.settle(r)
+			s.forget(r)
+			s.invalid(r.peer, r.call, errOtherOrder)
+			return
+		}
 		if e.Earlier = s.keys.take(r); e.Earlier != 0 {
 			s.stats.Repeats++
 		}
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -125,8 +125,17 @@
 	delete(s.requests, r.id)
 	delete(s.byWire, r.try.ID)
 	if e := s.keys.left(r); e != nil {
-		// Tries of the window are taken in for as long as their time is plausible.
-		linger := s.lateMost(r.class) + keySlack
-		s.deadlines.Add(s.clock.own(e.closes)+linger, func() { s.keys.drop(e) })
+		s.dropAfterWindow(e)
 	}
 }
+
+// dropAfterWindow has an entry dropped that a run has. Tries of its window are taken in for as long as their
+// time is plausible.
+func (s *Server) dropAfterWindow(e *keyEntry) {
+	closes := e.closes
+	s.deadlines.Add(s.clock.own(closes)+s.longestWait()+lateSpare+keySlack, func() {
+		if e.closes == closes {
+			s.keys.drop(e)
+		}
+	})
+}
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -19,18 +19,25 @@
 	shutDone bool
 }
 
-// Drain has the server leave. It may be called more than once.
+// Drain has the process leave. Where a newer one has joined to take its place, the image server goes on: no
+// front end is sent elsewhere, and only what this process still has keeps it. It may be called more than once.
 func (s *Server) Drain() {
 	s.post(func() {
 		if s.drain.on {
 			return
 		}
-		s.log.Info("told to leave")
-		now := s.clock.now
-		s.drain = drainState{on: true, stopAt: now + max(s.cfg.Stop-endMargin, 0)}
-		s.drain.shutAt = min(now+s.cfg.Settings.DrainGrace, s.drain.stopAt)
-		s.announcer.Set(false)
-		s.happened(decide.Event{Kind: decide.Notice, At: s.drain.stopAt})
+		replaced := s.newer != nil
+		s.log.WithField("replaced", replaced).Info("told to leave")
+		now, stop, shut := s.clock.now, s.cfg.Stop, s.cfg.Settings.DrainGrace
+		if replaced {
+			stop, shut = s.cfg.StopReplaced, 0
+			s.announcer.Silence()
+		} else {
+			s.announcer.Set(false)
+		}
+		s.drain = drainState{on: true, stopAt: now + max(stop-endMargin, 0)}
+		s.drain.shutAt = min(now+shut, s.drain.stopAt)
+		s.happened(decide.Event{Kind: decide.Notice, At: s.drain.stopAt, Replaced: replaced})
 		for p, st := range s.peers {
 			s.tellClosing(p, st)
 		}
@@ -42,6 +49,7 @@
 // shut closes the listeners: a refused connection tells a front end at once to go elsewhere.
 func (s *Server) shut() {
 	s.drain.shutDone = true
+	s.openFronts() // so that those that do not accept yet end, too
 	for _, f := range s.fronts {
 		if err := f.Close(); err != nil {
 			s.warn.Warn("listener", "not closed", err)
@@ -51,7 +59,7 @@
 
 // finished reports whether a drain is over: all front ends have gone, or time is up.
 func (s *Server) finished() bool {
-	return s.drain.on && (s.drain.shutDone && len(s.peers) == 0 || s.clock.now >= s.drain.stopAt)
+	return s.drain.on && (s.drain.shutDone && s.serving == 0 && len(s.peers) == 0 || s.clock.now >= s.drain.stopAt)
 }
 
 // leave is the end of the loop: what was answered is still written.
--- /dev/null
+++ b/internal/server/handover_test.go
@@ -0,0 +1,172 @@
+package server
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"falldeal/decide"
+	"falldeal/internal/agent"
+	"falldeal/internal/handover"
+	"falldeal/internal/outbox"
+
+	"github.com/stretchr/testify/require"
+)
+
+// orders is a server that is up, whose partner is played by the test.
+type orders struct {
+	*Server
+	*peer
+	t    *testing.T
+	do   func()
+	link *handover.Link
+	told *bufio.Scanner
+	last uint32
+}
+
+func withPartner(t *testing.T) *orders {
+	s, do := idle(t)
+	s.greeted(agent.Notice{Kind: agent.Greeting, Result: agent.Steady})
+	o := &orders{Server: s, peer: &peer{}, t: t, do: do}
+	here, there := net.Pipe()
+	t.Cleanup(func() { here.Close(); there.Close() })
+	require.NoError(t, there.SetDeadline(time.Now().Add(30*time.Second)))
+	o.link, o.told = &handover.Link{Outbox: outbox.New(here, 100)}, bufio.NewScanner(there)
+	go func() { _ = o.link.Run() }()
+	s.Opened(o.peer)
+	do()
+	return o
+}
+
+// order sends a try of a keyed request and has the controller decide on it.
+func (o *orders) order(once string) *request {
+	o.last++
+	id := string(rune('a' + o.last))
+	o.Submit(o.peer, o.last, Try{ID: id, Once: once, Class: "licence-order", At: o.clock.now, Wait: 3 * time.Second, KB: 1})
+	o.do()
+	o.step()
+	return o.byWire[id]
+}
+
+// partner plays what the other process tells.
+func (o *orders) partner(kind handover.Kind, m handover.Message) {
+	m.Kind = kind
+	o.partnerTold(o.link, m)
+	o.step()
+}
+
+// expect reads what the other process is told.
+func (o *orders) expect(cmd string) {
+	o.t.Helper()
+	require.True(o.t, o.told.Scan(), "%v", o.told.Err())
+	require.Contains(o.t, o.told.Text(), `{"cmd":"`+cmd+`"`)
+}
+
+// The newer process runs nothing under a key before the older one has said that it may.
+func TestNewerClaimsKeys(t *testing.T) {
+	o := withPartner(t)
+	o.joinedOlder(o.link)
+	o.partner(handover.Synced, handover.Message{})
+	require.True(t, o.opened)
+	digest := o.keys.digest(Try{})
+	closes := o.clock.now + time.Minute
+
+	a, again := o.order("aa"), o.order("aa")
+	o.expect("claim")
+	require.False(t, a.running)
+	o.partner(handover.Grant, handover.Message{Once: "aa"})
+	require.True(t, a.running)
+	require.False(t, again.running)
+	o.expect("known")
+	o.finish(a, decide.OK, nil)
+	o.expect("over")
+	require.Equal(t, []any{Served, Served}, o.got)
+
+	// One that the older process has is answered with what that tells of its end.
+	b := o.order("bb")
+	o.expect("claim")
+	o.partner(handover.Known, handover.Message{Once: "bb", Digest: digest, At: closes})
+	require.False(t, b.running)
+	require.Len(t, o.got, 2)
+	o.partner(handover.Over, handover.Message{Once: "bb", OK: true, Body: []byte("x")})
+	require.Equal(t, Served, o.got[2])
+	o.order("bb") // not claimed any more
+	require.Equal(t, Served, o.got[3])
+
+	// A key under another body is nobody's.
+	o.partner(handover.Known, handover.Message{Once: "cc", Digest: digest + 1, At: closes})
+	o.order("cc")
+	require.Equal(t, Invalid, o.got[4])
+
+	// Without an answer nothing is run, and a grant that comes too late is given back.
+	d := o.order("dd")
+	o.expect("claim")
+	o.clock.now += claimLimit
+	o.deadlines.Sweep(o.clock.now)
+	require.False(t, d.running)
+	require.Equal(t, Failed, o.got[5])
+	o.partner(handover.Grant, handover.Message{Once: "dd"})
+	o.expect("free")
+
+	// When the older process has ended, its runs may have had their effect; what it did not know may run.
+	o.partner(handover.Known, handover.Message{Once: "ee", Digest: digest, At: closes})
+	o.order("ee")
+	f := o.order("ff")
+	o.expect("claim")
+	o.partnerEnded(o.link)
+	o.step()
+	require.Equal(t, Failed, o.got[6])
+	require.True(t, f.running)
+	require.Nil(t, o.order("ee"))
+	require.Equal(t, Failed, o.got[7])
+	require.EqualValues(t, 2, o.stats.Runs)
+}
+
+// The older process tells all it knows, grants what it does not know, and from then on leaves that alone.
+func TestOlderGrantsKeys(t *testing.T) {
+	o := withPartner(t)
+	over, held := o.order("aa"), o.order("bb")
+	o.finish(over, decide.OK, []byte("x"))
+	require.True(t, held.running)
+	o.joinedNewer(o.link)
+	count := map[string]int{}
+	for count["synced"] == 0 {
+		require.True(t, o.told.Scan())
+		cmd, _, _ := strings.Cut(strings.TrimPrefix(o.told.Text(), `{"cmd":"`), `"`)
+		count[cmd]++
+	}
+	require.Equal(t, map[string]int{"known": 2, "over": 1, "synced": 1}, count)
+	claim := handover.Message{Once: "cc", Digest: o.keys.digest(Try{}), At: o.clock.now}
+	o.partner(handover.Claim, claim)
+	o.expect("grant")
+	c := o.order("cc")
+	require.False(t, c.running)
+	o.partner(handover.Over, handover.Message{Once: "cc", OK: true})
+	require.Equal(t, []any{Served, Served}, o.got)
+	o.partner(handover.Claim, handover.Message{Once: "bb", At: o.clock.now})
+	o.expect("known")
+	o.finish(held, decide.Failed, nil)
+	o.expect("over")
+
+	// What the newer one gave back may be run here.
+	claim.Once = "dd"
+	o.partner(handover.Claim, claim)
+	o.expect("grant")
+	o.partner(handover.Free, handover.Message{Once: "dd"})
+	require.True(t, o.order("dd").running)
+	o.expect("known")
+
+	// SIGTERM is no drain now: nobody is sent elsewhere, and new connections are the newer one's.
+	o.Drain()
+	o.do()
+	o.step()
+	require.True(t, o.good)
+	require.True(t, o.drain.on)
+	o.deadlines.Sweep(o.clock.now)
+	require.True(t, o.drain.shutDone)
+	require.False(t, o.finished()) // a front end is still there
+	o.forgetPeer(o.peer)
+	require.True(t, o.finished())
+}
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -1,10 +1,12 @@
 package server
 
 import (
-	"hash/maphash"
+	"crypto/sha256"
+	"encoding/binary"
 	"time"
 
 	"falldeal/decide"
+	"falldeal/internal/handover"
 )
 
 // Keys: which tries are of one request. A request with an effect runs once within its window, however
@@ -19,7 +21,8 @@
 type keyEntry struct {
 	once   string
 	digest uint64           // of what all its tries ask for
-	holder decide.RequestID // the try that has the entry
+	from   *handover.Link   // the process that has the entry; nil: this one
+	holder decide.RequestID // the try that has it
 	ran    bool             // the holder was run
 	over   bool             // that run has ended
 	ok     bool             // and its result is kept
@@ -33,18 +36,21 @@
 	of      map[*request]*keyEntry // of live requests
 	bytes   int                    // of results
 	most    int                    // such bytes
-	seed    maphash.Seed
+	tell    func(handover.Message) // tells other processes of a change
 }
 
 // newKeyTable returns a table for a process that may take so much memory.
 func newKeyTable(memoryMB int) keyTable {
 	return keyTable{entries: map[string]*keyEntry{}, of: map[*request]*keyEntry{}, most: memoryMB << 20 / keyShare,
-		seed: maphash.MakeSeed()}
+		tell: func(handover.Message) {}}
 }
 
 // digest stands for what a try asks for. All tries of one request carry the same body; the class may have got
-// another name since the first.
-func (t *keyTable) digest(try Try) uint64 { return maphash.Bytes(t.seed, try.Body) }
+// another name since the first. It means the same in every process.
+func (t *keyTable) digest(try Try) uint64 {
+	sum := sha256.Sum256(try.Body)
+	return binary.BigEndian.Uint64(sum[:])
+}
 
 // conflicts reports whether the key of r is that of a known request which asks for something else. The
 // result of that one is nothing for the sender of r.
@@ -55,13 +61,15 @@
 
 // known returns the entry that r falls under, if there is one.
 func (t *keyTable) known(r *request) *keyEntry {
-	e := t.entries[r.try.Once]
-	if e != nil && e.ran && r.try.At > e.closes+keySlack {
-		return nil
+	if e := t.entries[r.try.Once]; e != nil && !t.past(e, r.try.At) {
+		return e
 	}
-	return e
+	return nil
 }
 
+// past reports whether the window of e is over for a try that arrived at that time.
+func (t *keyTable) past(e *keyEntry, at time.Duration) bool { return e.ran && at > e.closes+keySlack }
+
 func (t *keyTable) size() int { return len(t.entries) }
 
 // take enters r, and returns the try that it repeats, or 0 for a first try. Tries that were taken in
@@ -80,8 +88,39 @@
 
 // hold gives r the entry.
 func (t *keyTable) hold(e *keyEntry, r *request) {
+	if e.holder == r.id {
+		return
+	}
 	e.holder, e.closes = r.id, r.try.At+r.window
 	t.entries[e.once], t.of[r] = e, e
+	t.tell(e.known())
+}
+
+func (e *keyEntry) known() handover.Message {
+	return handover.Message{Kind: handover.Known, Once: e.once, Digest: e.digest, At: e.closes}
+}
+
+// all is what there is to be told of e.
+func (e *keyEntry) all() []handover.Message {
+	if !e.over {
+		return []handover.Message{e.known()}
+	}
+	return []handover.Message{e.known(), {Kind: handover.Over, Once: e.once, OK: e.ok, Body: e.result}}
+}
+
+// adopt enters, or renews, a key that another process has, as if holder had been run under it.
+func (t *keyTable) adopt(from *handover.Link, m handover.Message, holder decide.RequestID) *keyEntry {
+	e := t.entries[m.Once]
+	if e == nil || e.from != from {
+		if e != nil {
+			t.drop(e)
+		}
+		e = &keyEntry{once: m.Once, from: from, holder: holder, ran: true}
+		t.entries[m.Once] = e
+	}
+	t.bytes -= len(e.result)
+	e.digest, e.closes, e.over, e.ok, e.result = m.Digest, m.At, false, false, nil
+	return e
 }
 
 // keep gives r the entry for as long as it is held, unless a run has it already.
@@ -124,14 +163,20 @@
 	if e == nil || e.holder != r.id || !e.ran {
 		return nil
 	}
-	waits := e.waits
-	e.waits = nil
 	if o == decide.Moot {
-		e.ran = false // nothing was run
+		waits := e.waits
+		e.waits, e.ran = nil, false // nothing was run
 		return waits
 	}
-	e.over = true
-	if e.ok = o == decide.OK && t.bytes+len(result) <= t.most; e.ok {
+	t.tell(handover.Message{Kind: handover.Over, Once: e.once, OK: o == decide.OK, Body: result})
+	return t.end(e, o == decide.OK, result)
+}
+
+// end notes the end of the run of e, and returns the tries that waited for it.
+func (t *keyTable) end(e *keyEntry, ok bool, result []byte) []*request {
+	waits := e.waits
+	e.waits, e.over = nil, true
+	if e.ok = ok && t.bytes+len(result) <= t.most; e.ok {
 		e.result = result
 		t.bytes += len(result)
 	}
@@ -148,6 +193,7 @@
 	}
 	if !e.ran {
 		t.drop(e)
+		t.tell(handover.Message{Kind: handover.Free, Once: e.once})
 		return nil
 	}
 	return e
--- a/internal/server/operate.go
+++ b/internal/server/operate.go
@@ -34,7 +34,7 @@
 
 // Ready reports whether this process serves and means to go on.
 func (s *Server) Ready(ctx context.Context) (bool, error) {
-	return ask(ctx, s, func() bool { return s.ctl != nil && !s.drain.on && !s.withdrawn })
+	return ask(ctx, s, func() bool { return s.ctl != nil && s.opened && !s.drain.on && !s.withdrawn })
 }
 
 // AppendFigures appends the operators' figures.
--- a/internal/server/operate_test.go
+++ b/internal/server/operate_test.go
@@ -14,6 +14,7 @@
 func running(t *testing.T) *Server {
 	s, _ := idle(t)
 	ctx, cancel := context.WithCancel(context.Background())
+	s.openFronts()
 	go s.loop(ctx)
 	t.Cleanup(func() { cancel(); <-s.ended })
 	return s
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -40,7 +40,7 @@
 		}
 	}
 	cfg := *s.cfg
-	cfg.Settings, cfg.Classes, cfg.Gauges = next, names, c.Gauges
+	cfg.Settings, cfg.Classes, cfg.Gauges, cfg.StopReplaced = next, names, c.Gauges, c.StopReplaced
 	s.cfg = &cfg
 	for i, k := range next.Classes {
 		if !k.Gone {
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -64,6 +64,7 @@
 	}
 	s.log.WithFields(map[string]any{"state": n.Result, "age": n.Elapsed.String()}).Info("agent is up")
 	s.ctl = ctl
+	s.serveOnceReady()
 	s.happened(decide.Event{Kind: decide.Timer, Gauges: unknownGauges}) // the first step
 	if s.withdrawn {
 		s.tellWithdrawn()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,6 +9,7 @@
 	"falldeal/internal/announce"
 	"falldeal/internal/config"
 	"falldeal/internal/deadline"
+	"falldeal/internal/handover"
 	"falldeal/internal/logging"
 	"falldeal/internal/stats"
 	"falldeal/internal/store"
@@ -30,6 +31,7 @@
 
 	answered bool // or nobody waits for an answer any more
 	running  bool // the agent was told to run it
+	claims   bool // it waits for word on its key
 	began    time.Duration
 
 	waits  []byte // body of the call that its run waits for
@@ -72,8 +74,12 @@
 	gauges       decide.Gauges
 	gaugesAt     time.Duration
 
-	fronts []Front
-	drain  drainState
+	fronts  []Front
+	serving int           // fronts that may still accept
+	open    chan struct{} // closed once they accept
+	opened  bool
+	drain   drainState
+	partners
 }
 
 // New returns a Server; nothing happens before Run.
@@ -81,11 +87,13 @@
 	s := &Server{cfg: cfg, log: log, warn: logging.NewLimiter(log), in: make(chan func(), inRoom),
 		ended: make(chan struct{}), clock: clock{read: time.Now}, deadlines: deadline.New(),
 		classes: map[string]int{}, requests: map[decide.RequestID]*request{}, byWire: map[string]*request{},
+		open: make(chan struct{}), partners: partners{claims: map[string][]*request{}},
 		keys: newKeyTable(cfg.Limits.MemoryMB), peers: map[Peer]*peerState{}, exercises: map[string]probe{}, idle: cfg.Settings.IdleAfter,
 		gauges: unknownGauges}
 	for i := range cfg.Classes {
 		s.enlist(i)
 	}
+	s.keys.tell = s.tellPartners
 	s.clock.advance()
 	s.agent = agent.New(cfg.Agent, s.post, s.agentNotice, s.warn)
 	s.store = store.New(cfg.Store, cfg.Limits.StoreSockets(), store.Loop{Post: s.post, Now: func() time.Duration { return s.clock.now },
@@ -100,8 +108,22 @@
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	s.fronts = fronts
+	s.serving = len(fronts)
 	for _, f := range fronts {
-		g.Go(func() error { return f.Serve(ctx, g, s) })
+		g.Go(func() error {
+			select {
+			case <-s.open:
+			case <-ctx.Done():
+				return nil
+			}
+			defer s.post(func() { s.serving-- })
+			return f.Serve(ctx, g, s)
+		})
+	}
+	if s.cfg.Handover != "" {
+		g.Go(func() error { return handover.Run(ctx, s.cfg.Handover, s.open, s.handoverLoop(), s.warn) })
+	} else {
+		s.openFronts()
 	}
 	g.Go(func() error { return s.agent.Run(ctx) })
 	g.Go(func() error { return s.store.Run(ctx) })
@@ -114,6 +136,14 @@
 	return g.Wait()
 }
 
+// openFronts has front ends accepted.
+func (s *Server) openFronts() {
+	if !s.opened {
+		s.opened = true
+		close(s.open)
+	}
+}
+
 // post hands f to the loop. It blocks while the loop is behind, and gives up once that is over.
 func (s *Server) post(f func()) {
 	select {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -19,6 +19,7 @@
 	AgentLinks, StoreLinks uint64 // links opened to the agent, connections to the store
 
 	Reloads, ReloadsFailed uint64 // of the configuration
+	Claims, ClaimsLate     uint64 // keys asked for at an older process, and those without an answer
 	Turns                  uint64 // of the loop
 }
 
@@ -54,6 +55,7 @@
 		"calls_ok":         c.CallsOK, "calls_busy": c.CallsBusy, "calls_failed": c.CallsFailed, "calls_late": c.CallsLate,
 		"calls_unreachable": c.CallsUnreachable, "calls_broken": c.CallsBroken,
 		"agent_links": c.AgentLinks, "store_links": c.StoreLinks,
+		"claims": c.Claims, "claims_late": c.ClaimsLate,
 		"reloads": c.Reloads, "reloads_failed": c.ReloadsFailed,
 		"turns": c.Turns, "now_open": open, "now_running": running, "now_keys": keys, "now_connections": peers,
 	}).Info("counters")
