Take in waits of deadlines that were in force; end a replaced process by its own time

A process that is replaced may be given longer than stop_ms (the longest deadline, up to 3 s, and 0.7 s), but main.go ended it at stop_ms.

Change: waits and times of arrival are bounded by the longest deadline that was in force so far. The last writes are timed from the end of the loop, which knows by when it has to end.

--- a/cmd/falldeal/main.go
+++ b/cmd/falldeal/main.go
@@ -25,10 +25,7 @@
 	"github.com/spf13/pflag"
 )
 
-const (
-	heapShare = 0.7                   // of the memory limit, for the garbage collector to keep to
-	exitSpare = 30 * time.Millisecond // before the process is stopped, when it ends in any case
-)
+const heapShare = 0.7 // of the memory limit, for the garbage collector to keep to
 
 // version is set by the linker where a release is built.
 var version = "dev"
@@ -133,6 +130,7 @@
 
 	inForce := c
 	var late <-chan time.Time
+	ended := s.Ended()
 	for {
 		select {
 		case sig := <-signals:
@@ -146,11 +144,10 @@
 				}
 				s.Reload(next, err)
 			default:
-				if late == nil {
-					late = time.After(max(c.Stop-exitSpare, 0))
-				}
 				s.Drain()
 			}
+		case <-ended:
+			ended, late = nil, time.After(server.LastWrites)
 		case err := <-over:
 			return err
 		case <-late:
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -11,8 +11,8 @@
 // Stage two, admit: a request that makes sense is put before the controller.
 
 var (
-	errAt         = errors.New("field at: too long ago for a request of the class, or ahead of the clock")
-	errWait       = errors.New("field wait: longer than the deadline of the class")
+	errAt         = errors.New("field at: longer ago than any deadline, or ahead of the clock")
+	errWait       = errors.New("field wait: longer than any deadline")
 	errNoOnce     = errors.New("field once: missing in a class whose requests must run once")
 	errOtherOrder = errors.New("field once: known with another body")
 )
@@ -25,8 +25,14 @@
 	lateSpare = time.Second
 )
 
-func (s *Server) lateMost(class int) time.Duration {
-	return s.cfg.Settings.Classes[class].Deadline + lateSpare
+// lateMost goes by the longest deadline that ever was in force: front ends hear late of a new one.
+func (s *Server) lateMost() time.Duration { return s.mostWait + lateSpare }
+
+// admitWaits has tries taken in that wait as long as the settings say.
+func (s *Server) admitWaits() {
+	for _, k := range s.cfg.Settings.Classes {
+		s.mostWait = max(s.mostWait, k.Deadline)
+	}
 }
 
 func (s *Server) admit(p Peer, call uint32, t Try) {
@@ -41,11 +47,11 @@
 		return
 	}
 	at := s.clock.own(t.At)
-	if at > s.clock.now+earlyMost || at < s.clock.now-s.lateMost(class) {
+	if at > s.clock.now+earlyMost || at < s.clock.now-s.lateMost() {
 		s.invalid(p, call, errAt)
 		return
 	}
-	if t.Wait > s.cfg.Settings.Classes[class].Deadline {
+	if t.Wait > s.mostWait {
 		s.invalid(p, call, errWait)
 		return
 	}
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -133,7 +133,7 @@
 // time is plausible.
 func (s *Server) dropAfterWindow(e *keyEntry) {
 	closes := e.closes
-	s.deadlines.Add(s.clock.own(closes)+s.longestWait()+lateSpare+keySlack, func() {
+	s.deadlines.Add(s.clock.own(closes)+s.lateMost()+keySlack, func() {
 		if e.closes == closes {
 			s.keys.drop(e)
 		}
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -9,8 +9,12 @@
 // Drain: on SIGTERM everything that was read is answered, and the process ends in time.
 
 // endMargin is how long before the process is stopped its loop ends: the last answers, which the
-// controller gives a little earlier, are on their way by then.
-const endMargin = 120 * time.Millisecond
+// controller gives a little earlier, are on their way by then. LastWrites of it may pass until the process ends,
+// whatever still hangs on a socket.
+const (
+	endMargin  = 120 * time.Millisecond
+	LastWrites = 90 * time.Millisecond
+)
 
 type drainState struct {
 	on       bool
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -165,13 +165,6 @@
 	}
 }
 
-func (s *Server) longestWait() (longest time.Duration) {
-	for _, k := range s.cfg.Settings.Classes {
-		longest = max(longest, k.Deadline)
-	}
-	return longest
-}
-
 func (s *Server) longestWindow() (longest time.Duration) {
 	for _, k := range s.cfg.Settings.Classes {
 		if k.Safety == decide.Keyed {
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -42,12 +42,13 @@
 	cfg := *s.cfg
 	cfg.Settings, cfg.Classes, cfg.Gauges, cfg.StopReplaced = next, names, c.Gauges, c.StopReplaced
 	s.cfg = &cfg
+	s.admitWaits()
 	for i, k := range next.Classes {
 		if !k.Gone {
 			s.enlist(i)
 		} else if s.classes[names[i]] == i {
 			// Front ends learn of it late, and what they have begun they may try again.
-			s.deadlines.Add(s.clock.now+s.lateMost(i), func() { s.delist(i) })
+			s.deadlines.Add(s.clock.now+s.lateMost(), func() { s.delist(i) })
 		}
 	}
 	return nil
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -60,6 +60,7 @@
 	actions []decide.Action
 
 	classes  map[string]int
+	mostWait time.Duration // longest deadline so far
 	requests map[decide.RequestID]*request
 	byWire   map[string]*request
 	lastID   decide.RequestID
@@ -93,6 +94,7 @@
 	for i := range cfg.Classes {
 		s.enlist(i)
 	}
+	s.admitWaits()
 	s.keys.tell = s.tellPartners
 	s.clock.advance()
 	s.agent = agent.New(cfg.Agent, s.post, s.agentNotice, s.warn)
@@ -203,6 +205,10 @@
 	}
 }
 
+// Ended is closed when all has been answered, or time is up. What is left is to write the last answers,
+// for which there is LastWrites.
+func (s *Server) Ended() <-chan struct{} { return s.ended }
+
 // PrintStats logs the counters.
 func (s *Server) PrintStats() { s.post(s.printStats) }
 
