Read what the older process told last though it can't be written to any more

Found on the way, in the log of the busy machine: 'link to the other process broke: write: broken pipe' when an older process ends. The outbox closes the connection when a write fails, and what the older process told last might still be unread (internal/handover/link.go, serve): the ends of its runs would be lost, and tries of those orders answered as failed. The writing side is now closed alone. A failed accept no longer ends accepting.

--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -22,6 +22,7 @@
 	maxLine     = 32 << 10 // a result of 4 KiB in base64, many times over
 	outRoom     = 4096     // messages that wait to be written
 	dialTimeout = time.Second
+	acceptPause = 50 * time.Millisecond // after a failed accept
 )
 
 // Link leads to the other process.
@@ -52,7 +53,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	nc, err := net.DialTimeout("unix", path, dialTimeout)
 	if err == nil {
-		g.Go(func() error { serve(ctx, nc, loop, loop.Older, log); return nil })
+		g.Go(func() error { serve(ctx, nc.(*net.UnixConn), loop, loop.Older, log); return nil })
 	} else {
 		if !errors.Is(err, fs.ErrNotExist) {
 			log.Warn("handover", "no older process to be reached", err) // one that ended leaves its socket
@@ -72,9 +73,17 @@
 		}
 		defer context.AfterFunc(ctx, func() { ln.Close() })()
 		for {
-			nc, err := ln.Accept()
+			nc, err := ln.AcceptUnix()
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
 			if err != nil {
-				return nil // closed
+				log.Warn("handover", "newer process not accepted", err)
+				select {
+				case <-ctx.Done():
+				case <-time.After(acceptPause):
+				}
+				continue
 			}
 			g.Go(func() error { serve(ctx, nc, loop, loop.Newer, log); return nil })
 		}
@@ -84,7 +93,7 @@
 
 // listen takes the place at path of whatever listened there before. The next process does the same, so the
 // socket must not go with this one.
-func listen(path string) (net.Listener, error) {
+func listen(path string) (*net.UnixListener, error) {
 	if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, fmt.Errorf("socket of the process before: %w", err)
 	}
@@ -96,12 +105,24 @@
 	return ln, nil
 }
 
-func serve(ctx context.Context, nc net.Conn, loop Loop, joined func(*Link), log *logging.Limiter) {
-	l := &Link{outbox.New(nc, outRoom)}
+// half is a connection whose writing side alone is closed: where the other process has ended, what it told last
+// may still be unread.
+type half struct{ *net.UnixConn }
+
+func (h half) Close() error { return h.CloseWrite() }
+
+func serve(ctx context.Context, nc *net.UnixConn, loop Loop, joined func(*Link), log *logging.Limiter) {
+	defer nc.Close()
+	l := &Link{outbox.New(half{nc}, outRoom)}
 	loop.Post(func() { joined(l) })
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, l.Close)()
-	g.Go(l.Run)
+	g.Go(func() error {
+		if l.Run() == nil {
+			nc.Close() // all is written, and this process ends
+		}
+		return nil // the reader finds out why it can't be written
+	})
 	g.Go(func() error {
 		defer l.Close()
 		in := bufio.NewReaderSize(nc, maxLine)
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	*testing.T
 	told  chan any
 	links chan *Link // joined
+	busy  sync.Mutex // held by a test that keeps the loop from its turns
 	stop  func()     // and wait until all is written
 }
 
@@ -28,8 +30,8 @@
 			p.told <- name
 		}
 	}
-	in, ctx := make(chan func(), 100), context.Background()
-	ctx, cancel := context.WithCancel(ctx)
+	in := make(chan func())
+	ctx, cancel := context.WithCancel(context.Background())
 	loop := Loop{Post: func(f func()) { in <- f }, Older: joined("older"), Newer: joined("newer"),
 		Got: func(_ *Link, m Message) { p.told <- m }, Ended: func(*Link) { p.told <- "ended" }}
 	serves, over := make(chan struct{}), make(chan error, 1)
@@ -38,7 +40,9 @@
 	go func() { over <- Run(ctx, path, serves, loop, logging.NewLimiter(log)) }()
 	go func() {
 		for f := range in {
+			p.busy.Lock()
 			f()
+			p.busy.Unlock()
 		}
 	}()
 	p.stop = func() {
@@ -100,3 +104,34 @@
 	require.Nil(t, <-third.links)
 	third.stop()
 }
+
+// What the older process told last must not be lost because the newer one fails to write to it meanwhile.
+func TestLastWords(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	first := start(t, path)
+	first.expect("older")
+	listening(t, path)
+	second := start(t, path)
+	second.expect("older")
+	first.expect("newer")
+	<-first.links
+	first.busy.Lock()
+	second.busy.Lock()
+	link := <-first.links
+	last := Message{Kind: Over, Once: "a", OK: true, Body: make([]byte, 2<<10)} // more than is read ahead
+	for range 20 {
+		link.Tell(last)
+	}
+	first.busy.Unlock()
+	first.stop()
+	to := <-second.links
+	for range outRoom { // so many that some fail before the next line
+		to.Tell(Message{Kind: Claim, Once: "b"})
+	}
+	second.busy.Unlock()
+	for range 20 {
+		second.expect(last)
+	}
+	second.expect("ended")
+	second.stop()
+}
