Share the descriptors between two processes of one server; tell keys in pieces

Change: while there is a partner, each process lets front ends have half of that half, and the older one makes room when the newer one joins: what never said anything first, then the longest idle, nothing that is busy. Keys are told in pieces of 32 KiB.

TestSharedDescriptors fails without the change.

--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -20,7 +20,8 @@
 
 const (
 	maxLine     = 32 << 10 // a result of 4 KiB in base64, many times over
-	outRoom     = 4096     // messages that wait to be written
+	outRoom     = 4096     // messages, or batches of them, that wait to be written
+	batch       = 32 << 10 // bytes
 	dialTimeout = time.Second
 	acceptPause = 50 * time.Millisecond // after a failed accept
 )
@@ -28,13 +29,18 @@
 // Link leads to the other process.
 type Link struct{ *outbox.Outbox }
 
-// Tell sends messages, all at once.
+// Tell sends messages, many of them in pieces: one buffer for thousands of results would grow by being copied.
 func (l *Link) Tell(ms ...Message) {
 	var b []byte
 	for _, m := range ms {
-		b = appendMessage(b, m)
+		if b = appendMessage(b, m); len(b) >= batch {
+			l.Send(b)
+			b = nil
+		}
+	}
+	if len(b) > 0 {
+		l.Send(b)
 	}
-	l.Send(b)
 }
 
 // Loop is what Run needs of the loop that deals with messages. Post hands it a function, and the others are
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -41,6 +41,8 @@
 		all = append(all, e.all()...)
 	}
 	l.Tell(append(all, handover.Message{Kind: handover.Synced})...)
+	for len(s.peers) > s.mostPeers() && s.makeRoom() {
+	}
 }
 
 // sync notes that nothing is left to learn before this process may serve.
--- a/internal/server/handover_test.go
+++ b/internal/server/handover_test.go
@@ -170,3 +170,29 @@
 	o.forgetPeer(o.peer)
 	require.True(t, o.finished())
 }
+
+// The two processes share the descriptors of one: the older gives up idle connections, and none that is busy.
+func TestSharedDescriptors(t *testing.T) {
+	o := withPartner(t)
+	o.cfg.Limits.Sockets = 4 * (sparePeers + 3) // 3 connections for each of two
+	busy := o.order("aa").peer
+	var idle []*peer
+	for range 2*(sparePeers+3) - sparePeers - 1 {
+		p := &peer{}
+		o.Opened(p)
+		idle = append(idle, p)
+	}
+	o.do()
+	o.joinedNewer(o.link)
+	require.Len(t, o.peers, 3)
+	require.Contains(t, o.peers, busy)
+	o.partnerEnded(o.link)
+	o.Opened(&peer{})
+	o.do()
+	require.Len(t, o.peers, 4)
+	closed := 0
+	for _, p := range idle {
+		closed += len(p.got)
+	}
+	require.Equal(t, len(idle)-2, closed)
+}
--- a/internal/server/take.go
+++ b/internal/server/take.go
@@ -39,7 +39,7 @@
 func (s *Server) Opened(p Peer) {
 	s.post(func() {
 		s.stats.Connections++
-		if len(s.peers) >= s.cfg.Limits.FrontSockets()-sparePeers && !s.makeRoom() {
+		if len(s.peers) >= s.mostPeers() && !s.makeRoom() {
 			s.stats.ConnectionsClosed++
 			p.Close()
 			return
@@ -51,6 +51,15 @@
 	})
 }
 
+// mostPeers is how many connections may be open. Two processes that are one image server share its descriptors.
+func (s *Server) mostPeers() int {
+	most := s.cfg.Limits.FrontSockets()
+	if s.older != nil || s.newer != nil {
+		most /= 2
+	}
+	return most - sparePeers
+}
+
 // makeRoom closes the connection that has been idle for longest, of those that never said anything
 // of use if there are any. None with an open request is closed.
 func (s *Server) makeRoom() bool {
