Console tests no longer depend on how fast the machine is

The tests of the console ran with its times in service, so that a machine that stands still for a second could fail them. The times are now values that tests set: long ones where nothing is to expire, short ones where something is.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -16,27 +16,37 @@
 
 const (
 	mostConns = 32 // open at a time, of the descriptors that are left to other things than front ends
-	// callWithin bounds how long a caller may take to send its call: it takes one of those places.
-	callWithin   = time.Second
-	answerWithin = 700 * time.Millisecond // for the server to answer; callers are owed an answer within 1 s
-	writeWithin  = 2 * time.Second
-	maxHeader    = 4 << 10
+	maxHeader = 4 << 10
 )
 
+// limits bound how long a call takes.
+type limits struct {
+	call   time.Duration // for a caller to send it: it takes one of the places for connections
+	answer time.Duration // for the server to say what it is asked
+	write  time.Duration // for the caller to read that
+}
+
+// Callers are owed an answer within 1 s.
+var inService = limits{call: time.Second, answer: 700 * time.Millisecond, write: 2 * time.Second}
+
 // Operated is the server that the calls are about.
 type Operated interface {
 	// Ready reports whether this process serves.
 	Ready(ctx context.Context) (bool, error)
 	// AppendFigures appends the figures, a line each.
 	AppendFigures(ctx context.Context, b []byte) ([]byte, error)
-	// Withdraw has health checks answered badly, and Restore well again; both are done when they return.
+	// Withdraw has health checks answered badly, and Restore well again.
 	Withdraw(ctx context.Context) error
 	Restore(ctx context.Context) error
 }
 
 // Serve answers calls that come to ln until ctx ends. It closes ln.
 func Serve(ctx context.Context, ln net.Listener, s Operated, warn *logging.Limiter) error {
-	srv := &http.Server{Handler: handler(s), ReadTimeout: callWithin, WriteTimeout: callWithin + writeWithin,
+	return inService.serve(ctx, ln, s, warn)
+}
+
+func (l limits) serve(ctx context.Context, ln net.Listener, s Operated, warn *logging.Limiter) error {
+	srv := &http.Server{Handler: l.handler(s), ReadTimeout: l.call, WriteTimeout: l.call + l.answer + l.write,
 		MaxHeaderBytes: maxHeader, ErrorLog: log.New(lines{warn}, "", 0)}
 	srv.SetKeepAlivesEnabled(false)
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
@@ -54,11 +64,11 @@
 	return len(b), nil
 }
 
-func handler(s Operated) http.Handler {
+func (l limits) handler(s Operated) http.Handler {
 	mux := http.NewServeMux()
 	answer := func(pattern string, do func(context.Context) (int, []byte, error)) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
-			ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+			ctx, cancel := context.WithTimeout(r.Context(), l.answer)
 			defer cancel()
 			code, text, err := do(ctx)
 			if err != nil {
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -38,13 +38,18 @@
 func (o *operated) Withdraw(ctx context.Context) error { o.withdrawn = true; return o.do(ctx) }
 func (o *operated) Restore(ctx context.Context) error  { o.withdrawn = false; return o.do(ctx) }
 
-func start(t *testing.T, o *operated) (addr string) {
+const patience = 30 * time.Second // after which a test that hangs is given up
+
+// A machine that stands still for a while must not turn a test's calls into late ones.
+var patient = limits{call: patience, answer: patience, write: patience}
+
+func start(t *testing.T, o *operated, l limits) (addr string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	over := make(chan error, 1)
 	log, _ := test.NewNullLogger()
-	go func() { over <- Serve(ctx, ln, o, logging.NewLimiter(log)) }()
+	go func() { over <- l.serve(ctx, ln, o, logging.NewLimiter(log)) }()
 	t.Cleanup(func() { cancel(); require.NoError(t, <-over) })
 	return ln.Addr().String()
 }
@@ -54,7 +59,7 @@
 	nc, err := net.Dial("tcp", addr)
 	require.NoError(t, err)
 	defer nc.Close()
-	require.NoError(t, nc.SetDeadline(time.Now().Add(30*time.Second)))
+	require.NoError(t, nc.SetDeadline(time.Now().Add(patience)))
 	_, err = io.WriteString(nc, method+" "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
 	require.NoError(t, err)
 	in := bufio.NewReader(nc)
@@ -68,7 +73,7 @@
 }
 
 func TestCalls(t *testing.T) {
-	addr := start(t, &operated{})
+	addr := start(t, &operated{}, patient)
 	for _, c := range []struct {
 		method, path string
 		code         int
@@ -91,25 +96,34 @@
 
 // A server that is too busy to say is not ready; callers don't wait for ever to hear so.
 func TestBusyServer(t *testing.T) {
-	addr := start(t, &operated{hangs: true})
+	l := patient
+	l.answer = time.Millisecond
+	addr := start(t, &operated{hangs: true}, l)
 	for _, c := range [][2]string{{"GET", "/ready"}, {"GET", "/metrics"}, {"POST", "/drain"}, {"POST", "/undrain"}} {
 		code, _ := call(t, addr, c[0], c[1])
 		require.Equal(t, 503, code, c[1])
 	}
 }
 
-// Callers that send nothing, or half a call, take all places but lose them soon.
+// Callers that send nothing, or half a call, take all places but lose them.
 func TestSilentCallers(t *testing.T) {
-	addr := start(t, &operated{})
+	l := patient
+	l.call = 100 * time.Millisecond
+	addr := start(t, &operated{}, l)
+	var silent []net.Conn
 	for i := range mostConns {
 		nc, err := net.Dial("tcp", addr)
 		require.NoError(t, err)
 		defer nc.Close()
+		require.NoError(t, nc.SetDeadline(time.Now().Add(patience)))
+		silent = append(silent, nc)
 		if i%2 == 0 {
 			_, err = io.WriteString(nc, "GET /re")
 			require.NoError(t, err)
 		}
 	}
-	code, _ := call(t, addr, "GET", "/ready")
-	require.Equal(t, 200, code)
+	for _, nc := range silent {
+		_, err := io.Copy(io.Discard, nc)
+		require.NoError(t, err, "want the end of the connection")
+	}
 }
