--- /dev/null
+++ b/cmd/falldeal/deploy_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// deployed returns the command that deploy/balancer.toml gives under a key.
+func deployed(t *testing.T, key string) string {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	found := regexp.MustCompile(`(?m)^` + key + ` = "(.*)"$`).FindSubmatch(text)
+	require.NotNil(t, found, key)
+	return string(found[1])
+}
+
+// The fleet's bench reaches an image server's sockets and clocks by way of the C library: a program that is
+// linked statically, as Go does by itself where nothing needs C, would run past it and fail every day. And it
+// refuses to start further processes, so `run` has to become the program.
+func TestDeployedProgramIsLinkedDynamically(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "bin")
+	build := exec.Command("/bin/sh", "-c", strings.ReplaceAll(deployed(t, "build"), "bin", bin))
+	build.Dir = "../.."
+	out, err := build.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	for _, program := range []string{"falldeal", "simhost"} {
+		file, err := elf.Open(filepath.Join(bin, program))
+		require.NoError(t, err)
+		libraries, err := file.ImportedLibraries()
+		require.NoError(t, err)
+		require.NoError(t, file.Close())
+		require.Contains(t, strings.Join(libraries, " "), "libc.so", program)
+	}
+	require.Regexp(t, `^exec bin/falldeal [^;&|]*$`, deployed(t, "run"))
+}
