--- /dev/null
+++ b/lab/standin/agent.go
@@ -0,0 +1,203 @@
+// Package standin plays the parties that an image server talks to, on loopback, as the protocol page describes
+// them: the render farm agent, the store and the announce service. They are for the laboratory and for tests;
+// nothing that serves imports them. They leave out the model of the cores: a run takes the time it is told to.
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+)
+
+// noticesKept is how many notices an agent remembers for links that come back; protocol.
+const noticesKept = 4000
+
+// Launch is a run that an agent is asked for.
+type Launch struct {
+	Req, Class string
+	Body       []byte
+}
+
+// Plan says what becomes of a run.
+type Plan struct {
+	Work   time.Duration // from the launch to the end, calls not counted; 0 = at once
+	Call   []byte        // body of a call that the run makes first; nil = none
+	Result string        // success, failure, interrupted or nothing; "" = success with the body of the launch
+}
+
+// Agent is a render farm agent. Its fields are set before Serve; Serve may be called from any goroutine, and
+// so may Breaks and Runs.
+type Agent struct {
+	State string              // of the greeting: booting or steady
+	Age   time.Duration       // of the agent, as the greeting tells it
+	Load  [4]float64          // what samples are answered with
+	Plan  func(l Launch) Plan // nil: every run succeeds at once without a call
+	Ready <-chan struct{}     // the greeting waits for it; nil: it does not
+
+	mu      sync.Mutex
+	link    *json.Encoder // of the newest link; nil while there is none
+	conn    net.Conn
+	offset  int
+	notices []notice // the last ones, in order
+	runs    map[string]*run
+}
+
+type run struct {
+	launch  Launch
+	plan    Plan
+	over    bool
+	waiting bool // for the reply to its call
+}
+
+type notice struct {
+	Cmd     string    `json:"cmd"`
+	Offset  int       `json:"offset,omitempty"`
+	Req     string    `json:"req,omitempty"`
+	Token   string    `json:"token,omitempty"`
+	Result  string    `json:"result,omitempty"`
+	Elapsed float64   `json:"elapsed_ms,omitempty"`
+	Load    []float64 `json:"load,omitempty"`
+	Payload []byte    `json:"payload,omitempty"`
+}
+
+type command struct {
+	Cmd     string `json:"cmd"`
+	Req     string `json:"req"`
+	Method  string `json:"method"`
+	Token   string `json:"token"`
+	Offset  int    `json:"offset"`
+	Payload []byte `json:"payload"`
+}
+
+// Serve accepts links until ln is closed.
+func (a *Agent) Serve(ln net.Listener) error {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go a.read(nc)
+	}
+}
+
+func (a *Agent) read(nc net.Conn) {
+	defer nc.Close()
+	in := json.NewDecoder(bufio.NewReader(nc))
+	for {
+		var c command
+		if in.Decode(&c) != nil {
+			return // also for what is no command
+		}
+		if c.Cmd == "subscribe" && a.Ready != nil {
+			<-a.Ready
+		}
+		a.mu.Lock()
+		a.command(nc, c)
+		a.mu.Unlock()
+	}
+}
+
+// Break closes the link, as a fault does; the next one finds all notices that it asks for.
+func (a *Agent) Break() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.conn.Close()
+	}
+}
+
+// Runs is how many runs were begun.
+func (a *Agent) Runs() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.runs)
+}
+
+func (a *Agent) command(nc net.Conn, c command) {
+	if c.Cmd == "subscribe" {
+		if a.runs == nil {
+			a.runs = map[string]*run{}
+		}
+		a.conn, a.link = nc, json.NewEncoder(nc)
+		a.say(notice{Cmd: "greeting", Result: a.State, Elapsed: float64(a.Age.Milliseconds())})
+		for _, n := range a.notices {
+			if n.Offset > c.Offset {
+				a.say(n)
+			}
+		}
+		return
+	}
+	if nc != a.conn {
+		return // a newer link has replaced this one
+	}
+	switch r := a.runs[c.Req]; c.Cmd {
+	case "sample":
+		a.say(notice{Cmd: "sampled", Token: c.Token, Load: a.Load[:]})
+	case "exercise":
+		a.say(notice{Cmd: "exercised", Token: c.Token, Result: "success"})
+	case "launch":
+		if r == nil {
+			a.begin(&run{launch: Launch{c.Req, c.Method, c.Payload}})
+		}
+	case "deliver", "forgo":
+		if r != nil && r.waiting {
+			r.waiting = false
+			a.work(r)
+		}
+	default:
+		nc.Close() // protocol: what is no command ends the link
+	}
+}
+
+func (a *Agent) begin(r *run) {
+	a.runs[r.launch.Req] = r
+	if a.Plan != nil {
+		r.plan = a.Plan(r.launch)
+	}
+	if r.plan.Call == nil {
+		a.work(r)
+		return
+	}
+	r.waiting = true
+	a.number(notice{Cmd: "request", Req: r.launch.Req, Payload: r.plan.Call})
+}
+
+func (a *Agent) work(r *run) {
+	if r.plan.Work <= 0 {
+		a.end(r)
+		return
+	}
+	time.AfterFunc(r.plan.Work, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.end(r)
+	})
+}
+
+func (a *Agent) end(r *run) {
+	if r.over {
+		return
+	}
+	n := notice{Cmd: "outcome", Req: r.launch.Req, Result: r.plan.Result, Elapsed: float64(r.plan.Work.Milliseconds())}
+	if n.Result == "" {
+		n.Result, n.Payload = "success", r.launch.Body
+	}
+	r.over, r.launch.Body = true, nil
+	a.number(n)
+}
+
+// number gives a notice its place, keeps it and tells it.
+func (a *Agent) number(n notice) {
+	a.offset++
+	n.Offset = a.offset
+	a.notices = append(a.notices, n)
+	if len(a.notices) > noticesKept {
+		a.notices = a.notices[len(a.notices)-noticesKept:]
+	}
+	a.say(n)
+}
+
+// say writes a notice; what a broken link loses comes again on the next.
+func (a *Agent) say(n notice) { _ = a.link.Encode(n) }
