Read requests in place instead of building a tree of values

Need: decoding a request of 1 KB took 97 allocations, one for each byte of a head among them (`take` in codec.go).

Change: a connection cuts its stream into frames with a scanner that keeps the old bounds (bytes, depth, number of values) and refuses a claim before memory is taken for it; messages and fields are read in place. The limit on the rest of a message is set only where that has to be waited for.

--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -1,7 +1,6 @@
 package msgpackrpc
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"time"
@@ -28,24 +27,17 @@
 // read hands over messages until the connection ends. Broken framing ends it, and so does a message that
 // does not come to its end: a connection that says nothing takes the place of a front end.
 func (c *conn) read(s *server.Server) error {
-	d := decoder{in: bufio.NewReaderSize(c.net, 4<<10)}
-	for first := true; ; first = false {
-		if !first {
-			if _, err := d.in.Peek(1); err != nil {
-				return err
-			}
-		}
-		if err := c.net.SetReadDeadline(time.Now().Add(within)); err != nil {
-			return err
-		}
-		v, err := d.next()
+	in := frames{from: c.net, begun: c.limit, late: true} // the first message has a limit from the start
+	if err := c.limit(true); err != nil {
+		return err
+	}
+	var known names
+	for {
+		frame, err := in.next()
 		if err != nil {
 			return err
 		}
-		if err := c.net.SetReadDeadline(time.Time{}); err != nil {
-			return err
-		}
-		m, err := parseMessage(v)
+		m, err := parseMessage(frame)
 		if err != nil {
 			return fmt.Errorf("%s: %w", c.net.RemoteAddr(), err)
 		}
@@ -55,7 +47,7 @@
 			}
 			continue
 		}
-		if m.method == methodHealth {
+		if string(m.method) == methodHealth {
 			deep, err := parseProbe(m)
 			if err != nil {
 				s.Wrong(c, m.id, err)
@@ -64,7 +56,7 @@
 			}
 			continue
 		}
-		t, err := parseTry(m)
+		t, err := parseTry(m, &known)
 		if err != nil {
 			s.Wrong(c, m.id, err)
 			continue
@@ -73,6 +65,15 @@
 	}
 }
 
+// limit sets or lifts the limit on the time that a read may take.
+func (c *conn) limit(on bool) error {
+	var until time.Time
+	if on {
+		until = time.Now().Add(within)
+	}
+	return c.net.SetReadDeadline(until)
+}
+
 // Answer implements server.Peer.
 func (c *conn) Answer(call uint32, a server.Answer) { c.Send(appendAnswer(nil, call, a)) }
 
--- a/internal/msgpackrpc/message.go
+++ b/internal/msgpackrpc/message.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -36,164 +37,251 @@
 	maxCaller = math.MaxInt32
 )
 
-// message is one frame from a front end.
+// message is one frame from a front end. It refers to the bytes of the frame.
 type message struct {
 	kind   int64
 	id     uint32
-	method string
-	params arrayValue
+	method []byte // nil where it is no string
+	params cursor
+	count  int // of params; -1 where they are no array
 }
 
 // errBroken marks a frame after which the connection makes no sense any more.
 var errBroken = errors.New("no MessagePack-RPC message")
 
+// cursor reads one value after the other of a frame that is known to be whole.
+type cursor struct{ rest []byte }
+
+// head reads the head of the next value. What belongs to it follows.
+func (c *cursor) head() head {
+	h, ok, err := headOf(c.rest)
+	if err != nil || !ok {
+		c.rest = nil // can't be in a whole frame
+		return head{kind: nilValue}
+	}
+	c.rest = c.rest[h.size:]
+	return h
+}
+
+// payload passes over what follows the head h, and returns it.
+func (c *cursor) payload(h head) []byte {
+	n := min(h.payload(), len(c.rest))
+	b := c.rest[:n:n]
+	c.rest = c.rest[n:]
+	return b
+}
+
+// skip passes over all that belongs to the value of the head h.
+func (c *cursor) skip(h head) {
+	c.payload(h)
+	for range h.values() {
+		c.skip(c.head())
+	}
+}
+
+// bytes reads the next value, and reports whether it is of that kind.
+func (c *cursor) bytes(kind valueKind) ([]byte, bool) {
+	h := c.head()
+	if h.kind != kind {
+		c.skip(h)
+		return nil, false
+	}
+	return c.payload(h), true
+}
+
 // parseMessage takes a frame apart. An error wraps errBroken; what is only wrong about a request is
 // found later, so that it can be answered.
-func parseMessage(v any) (message, error) {
-	var m message
-	list, ok := v.(arrayValue)
-	if !ok || len(list) < 3 {
+func parseMessage(frame []byte) (message, error) {
+	m := message{count: -1}
+	c := cursor{frame}
+	list := c.head()
+	if list.kind != arrayOf || list.n < 3 {
 		return m, fmt.Errorf("%w: want an array of 3 or 4", errBroken)
 	}
-	kind, ok := list[0].(int64)
-	if !ok || kind != kindRequest && kind != kindNotification {
-		return m, fmt.Errorf("%w: kind %v", errBroken, list[0])
+	kind := c.head()
+	if kind.kind != intValue || kind.v != kindRequest && kind.v != kindNotification {
+		return m, fmt.Errorf("%w: neither request nor notification", errBroken)
 	}
-	m.kind = kind
-	rest := list[1:]
-	if kind == kindRequest {
-		id, ok := rest[0].(int64)
-		if !ok || id < 0 || id > math.MaxUint32 || len(rest) != 3 {
-			return m, fmt.Errorf("%w: a request of %d parts with id %v", errBroken, len(list), rest[0])
+	m.kind = kind.v
+	parts := 3
+	if m.kind == kindRequest {
+		parts = 4
+		id := c.head()
+		if id.kind != intValue || id.v < 0 || id.v > math.MaxUint32 {
+			return m, fmt.Errorf("%w: a request without a number", errBroken)
 		}
-		m.id, rest = uint32(id), rest[1:]
+		m.id = uint32(id.v)
+	}
+	if list.n != parts {
+		return m, fmt.Errorf("%w: %d parts instead of %d", errBroken, list.n, parts)
 	}
-	if len(rest) != 2 {
-		return m, fmt.Errorf("%w: a notification of %d parts", errBroken, len(list))
+	m.method, _ = c.bytes(textValue)
+	if params := c.head(); params.kind == arrayOf {
+		m.count = params.n
 	}
-	m.method, _ = rest[0].(string)
-	m.params, _ = rest[1].(arrayValue)
+	m.params = c
 	return m, nil
 }
 
-// params is a map of strings to strings that keeps the first error, which names the field.
+// The fields that have a meaning, in the order in which fields keeps them.
+const (
+	fieldID = iota
+	fieldAt
+	fieldWait
+	fieldFrom
+	fieldCost
+	fieldKB
+	fieldRank
+	fieldOnce
+	fieldKey
+	fieldDeep
+	fieldCount
+)
+
+var fieldNames = [fieldCount]string{"id", "at", "wait", "from", "cost", "kb", "rank", "once", "key", "deep"}
+
+// fields is a map of strings to strings that keeps the first error, which names the field. The last value of a
+// name counts, and other names are passed over.
 type fields struct {
-	values map[string]string
+	values [fieldCount][]byte // nil: absent
 	err    error
 }
 
-func fieldsOf(v any) *fields {
-	f := &fields{values: map[string]string{}}
-	list, ok := v.(mapValue)
-	if !ok {
+// readFields reads the next value of c, which has to be such a map.
+func readFields(c *cursor) (f fields) {
+	h := c.head()
+	if h.kind != mapOf {
 		f.err = errors.New("fields: want a map")
 		return f
 	}
-	for _, p := range list {
-		key, ok := p.key.(string)
-		value, isText := p.value.(string)
-		if !ok || !isText {
-			f.err = fmt.Errorf("field %v: want a string", p.key)
+	for range h.n {
+		key, isKey := c.bytes(textValue)
+		value, isText := c.bytes(textValue)
+		if !isKey || !isText {
+			f.err = fmt.Errorf("field %.40s: want a string", key)
 			return f
 		}
-		f.values[key] = value
+		for i, name := range fieldNames {
+			if string(key) == name {
+				f.values[i] = value
+			}
+		}
 	}
 	return f
 }
 
-func (f *fields) fail(name, want string) {
+func (f *fields) fail(field int, want string) {
 	if f.err == nil {
-		f.err = fmt.Errorf("field %s: want %s, got %.40q", name, want, f.values[name])
+		f.err = fmt.Errorf("field %s: want %s, got %.40q", fieldNames[field], want, f.values[field])
 	}
 }
 
-func (f *fields) whole(name string, least, most int64) int64 {
-	v, err := strconv.ParseInt(f.values[name], 10, 64)
+func (f *fields) whole(field int, least, most int64) int64 {
+	v, err := strconv.ParseInt(string(f.values[field]), 10, 64)
 	if err != nil || v < least || v > most {
-		f.fail(name, fmt.Sprintf("a whole number from %d to %d", least, most))
+		f.fail(field, fmt.Sprintf("a whole number from %d to %d", least, most))
 		return least
 	}
 	return v
 }
 
-func (f *fields) number(name string, most float64) float64 {
-	v, err := strconv.ParseFloat(f.values[name], 64)
+func (f *fields) number(field int, most float64) float64 {
+	v, err := strconv.ParseFloat(string(f.values[field]), 64)
 	if err != nil || !(v >= 0 && v < most) {
-		f.fail(name, fmt.Sprintf("a number from 0 to under %g", most))
+		f.fail(field, fmt.Sprintf("a number from 0 to under %g", most))
 		return 0
 	}
 	return v
 }
 
 // hex reads a word of hex digits, which goes into messages to others as it is.
-func (f *fields) hex(name string, least, most int) string {
-	word := f.values[name]
+func (f *fields) hex(field, least, most int) string {
+	word := f.values[field]
 	ok := len(word) >= least && len(word) <= most
-	for _, c := range []byte(word) {
+	for _, c := range word {
 		ok = ok && (c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F')
 	}
 	if !ok {
-		f.fail(name, fmt.Sprintf("%d to %d hex digits", least, most))
+		f.fail(field, fmt.Sprintf("%d to %d hex digits", least, most))
 		return ""
 	}
-	return word
+	return string(word)
+}
+
+// names keeps the methods that came on a connection, so that a known one takes no memory again.
+type names []string
+
+const namesMost = 16 // kept; a site has a few classes
+
+func (n *names) of(method []byte) string {
+	for _, known := range *n {
+		if known == string(method) {
+			return known
+		}
+	}
+	name := string(method)
+	if len(*n) < namesMost && len(name) <= maxText {
+		*n = append(*n, name)
+	}
+	return name
 }
 
-// parseTry reads the parameters of a request; an error names the field at fault.
-func parseTry(m message) (server.Try, error) {
-	t := server.Try{Class: m.method}
+// parseTry reads the parameters of a request; an error names the field at fault. Nothing of the Try refers to
+// the frame.
+func parseTry(m message, known *names) (server.Try, error) {
+	t := server.Try{Class: known.of(m.method)}
 	switch {
-	case m.method == "":
+	case t.Class == "":
 		return t, errors.New("method: want a string")
-	case len(m.params) != 2:
+	case m.count != 2:
 		return t, errors.New("parameters: want [FIELDS, BODY]")
 	}
-	f := fieldsOf(m.params[0])
+	f := readFields(&m.params)
 	if f.err != nil {
 		return t, f.err
 	}
-	t.ID = f.hex("id", idDigits, idDigits)
-	t.At = time.Duration(f.whole("at", 0, maxAt)) * time.Millisecond
-	t.Wait = time.Duration(f.whole("wait", 0, maxWait.Milliseconds())) * time.Millisecond
-	t.Caller = int(f.whole("from", 0, maxCaller))
-	t.Cost = time.Duration(f.number("cost", maxCost) * float64(time.Millisecond))
-	if t.KB = f.number("kb", maxKB); t.KB == 0 {
-		f.fail("kb", "a number above 0")
+	t.ID = f.hex(fieldID, idDigits, idDigits)
+	t.At = time.Duration(f.whole(fieldAt, 0, maxAt)) * time.Millisecond
+	t.Wait = time.Duration(f.whole(fieldWait, 0, maxWait.Milliseconds())) * time.Millisecond
+	t.Caller = int(f.whole(fieldFrom, 0, maxCaller))
+	t.Cost = time.Duration(f.number(fieldCost, maxCost) * float64(time.Millisecond))
+	if t.KB = f.number(fieldKB, maxKB); t.KB == 0 {
+		f.fail(fieldKB, "a number above 0")
 	}
-	t.Rank = f.number("rank", 1)
-	if _, ok := f.values["once"]; ok {
-		t.Once = f.hex("once", 1, onceMost)
+	t.Rank = f.number(fieldRank, 1)
+	if f.values[fieldOnce] != nil {
+		t.Once = f.hex(fieldOnce, 1, onceMost)
 	}
-	if t.Key = f.values["key"]; len(t.Key) > maxText {
-		f.fail("key", fmt.Sprintf("up to %d bytes", maxText))
+	if t.Key = string(f.values[fieldKey]); len(t.Key) > maxText {
+		f.fail(fieldKey, fmt.Sprintf("up to %d bytes", maxText))
 	}
 	if f.err != nil {
 		return t, f.err
 	}
-	body, ok := m.params[1].(binaryValue)
+	body, ok := m.params.bytes(binValue)
 	if !ok || len(body) > maxBody {
 		return t, fmt.Errorf("body: want up to %d bytes of type bin", maxBody)
 	}
-	t.Body = body
+	t.Body = append(make([]byte, 0, len(body)), body...)
 	return t, nil
 }
 
 // parseProbe reads the parameters of a health check.
 func parseProbe(m message) (deep bool, err error) {
-	if len(m.params) != 1 {
+	if m.count != 1 {
 		return false, errors.New("parameters: want [FIELDS]")
 	}
-	f := fieldsOf(m.params[0])
-	return f.values["deep"] == "1", f.err
+	f := readFields(&m.params)
+	return string(f.values[fieldDeep]) == "1", f.err
 }
 
 // parseCancel reads which request a front end stops waiting for.
 func parseCancel(m message) (uint32, bool) {
-	if m.method != methodCancel || len(m.params) != 1 {
+	if string(m.method) != methodCancel || m.count != 1 {
 		return 0, false
 	}
-	id, ok := m.params[0].(int64)
-	return uint32(id), ok && id >= 0 && id <= math.MaxUint32
+	id := m.params.head()
+	return uint32(id.v), id.kind == intValue && id.v >= 0 && id.v <= math.MaxUint32
 }
 
 func appendClosing(b []byte) []byte {
@@ -201,7 +289,11 @@
 	return appendArray(appendText(b, methodClosing), 0)
 }
 
+// answerRoom is what an answer takes besides the body.
+const answerRoom = 48
+
 func appendAnswer(b []byte, id uint32, a server.Answer) []byte {
+	b = slices.Grow(b, answerRoom+len(a.Body))
 	b = appendUint(append(appendArray(b, 4), kindAnswer), id)
 	switch a.Kind {
 	case server.Served:
