Give up dials that no call waits for; spread what is tried again by the seed

Need: a zone that is cut off neither answers nor breaks. Calls that were given up stayed in the line for a connection (`waiting` in store/link.go), and the dials made for them hung for their 2 s: with the store's address moved by SIGHUP in the middle of that, up to 64 hanging dials to the old address kept new calls from being dialled at all (`dialing` counts them). And all servers of a fleet tried again after the same 10, 20, 40 ms.

Change: a call that ends leaves the line and takes the oldest dial along that nobody waits for; a move gives up all dials to the old address and makes new ones at once; only a dial that is still wanted can prove that a call never ran. Waits between attempts, at store and agent, double as before, but half of each is drawn from the configured seed (package backoff, no clock, no I/O).

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"falldeal/internal/backoff"
 	"falldeal/internal/logging"
 	"falldeal/internal/outbox"
 
@@ -38,6 +39,7 @@
 // Link is the link to the agent. Its methods are called from the loop that post hands functions to.
 type Link struct {
 	moves  chan string  // the address in force, for Run
+	seed   uint64       // of the spread of what is tried again
 	post   func(func()) // hands a function to the loop
 	notice func(Notice)
 	log    *logging.Limiter
@@ -51,9 +53,13 @@
 	unread []command // in order of sending
 }
 
-// New returns a Link that hands each new notice to the function notice, within the loop.
-func New(addr string, post func(func()), notice func(Notice), log *logging.Limiter) *Link {
-	l := &Link{moves: make(chan string, 1), post: post, notice: notice, log: log}
+// purpose sets the agent's jitter apart from that of other links of one server.
+const purpose = 0xa6e27
+
+// New returns a Link that hands each new notice to the function notice, within the loop. What it tries again is
+// spread by seed.
+func New(addr string, seed uint64, post func(func()), notice func(Notice), log *logging.Limiter) *Link {
+	l := &Link{moves: make(chan string, 1), seed: seed, post: post, notice: notice, log: log}
 	l.Move(addr)
 	return l
 }
@@ -94,20 +100,19 @@
 
 // keep opens links to addr, one after the other, for as long as stay lasts.
 func (l *Link) keep(ctx, stay context.Context, addr string) {
-	wait := backoffLeast
+	wait := backoff.New(backoffLeast, backoffMost, l.seed, purpose)
 	for stay.Err() == nil {
 		began := time.Now()
 		if err := l.serve(ctx, stay, addr); err != nil && stay.Err() == nil {
 			l.log.Warn("agent", "link to the agent broke; opening it again", err)
 		}
 		if time.Since(began) > backoffMost {
-			wait = backoffLeast
+			wait.Reset()
 		}
 		select {
 		case <-stay.Done():
-		case <-time.After(wait):
+		case <-time.After(wait.Next()):
 		}
-		wait = min(2*wait, backoffMost)
 	}
 }
 
--- a/internal/agent/link_test.go
+++ b/internal/agent/link_test.go
@@ -26,7 +26,7 @@
 		defer ln.Close()
 		lns[i] = ln
 	}
-	l := New(lns[0].Addr().String(), func(f func()) { in <- f }, func(n Notice) { seen = append(seen, string(n.Kind)+n.Req) },
+	l := New(lns[0].Addr().String(), 1, func(f func()) { in <- f }, func(n Notice) { seen = append(seen, string(n.Kind)+n.Req) },
 		logging.NewLimiter(log))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -81,7 +81,7 @@
 	in := make(chan func(), 10)
 	var seen []string
 	log, _ := test.NewNullLogger()
-	l := New(ln.Addr().String(), func(f func()) { in <- f }, func(n Notice) { seen = append(seen, string(n.Kind)+n.Req) },
+	l := New(ln.Addr().String(), 1, func(f func()) { in <- f }, func(n Notice) { seen = append(seen, string(n.Kind)+n.Req) },
 		logging.NewLimiter(log))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- /dev/null
+++ b/internal/backoff/backoff_test.go
@@ -0,0 +1,51 @@
+package backoff
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWaitsDoubleWithinBounds(t *testing.T) {
+	b := New(10*time.Millisecond, 200*time.Millisecond, 7, 1)
+	for range 2 {
+		for _, whole := range []time.Duration{10, 20, 40, 80, 160, 200, 200} {
+			whole *= time.Millisecond
+			got := b.Next()
+			require.LessOrEqual(t, got, whole)
+			require.GreaterOrEqual(t, got, whole/2)
+		}
+		b.Reset()
+	}
+}
+
+// What is tried again follows from the seed, and from nothing else: a day that is played again is the same day.
+func TestSameSeedSameWaits(t *testing.T) {
+	a, b, c := New(10, 2000, 7, 1), New(10, 2000, 7, 1), New(10, 2000, 7, 2)
+	same := true
+	for range 10 {
+		next := a.Next()
+		require.Equal(t, next, b.Next())
+		same = same && next == c.Next()
+	}
+	require.False(t, same)
+}
+
+// A zone is cut off and 300 servers lose their store at one instant. Without jitter all of them would come back
+// within one instant at each attempt; with it no 20 ms see more than a fifth of them after the first few.
+func TestFleetDoesNotComeBackAtOnce(t *testing.T) {
+	const servers = 300
+	slots := map[time.Duration]int{}
+	for seed := range uint64(servers) {
+		b, at := New(10*time.Millisecond, 200*time.Millisecond, seed, 1), time.Duration(0)
+		for at < 400*time.Millisecond {
+			at += b.Next()
+		}
+		slots[at/(20*time.Millisecond)]++ // the first attempt after the zone is back
+	}
+	for slot, n := range slots {
+		require.Less(t, n, servers/5, "in the 20 ms from %v", slot*20*time.Millisecond)
+	}
+	require.Greater(t, len(slots), 8)
+}
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -5,8 +5,10 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"time"
 
+	"falldeal/internal/backoff"
 	"falldeal/internal/deadline"
 	"falldeal/internal/logging"
 	"falldeal/internal/outbox"
@@ -41,20 +43,25 @@
 	loop  Loop
 	reply func(id string, r Reply, body []byte)
 	log   *logging.Limiter
-	dials chan dial // asks Run to dial; has room for all that may be under way
+	dials chan *dial // asks Run to dial; has room for all that may be under way
 
 	calls   map[string]*call
-	waiting []*call // for a connection, in order; ended ones are passed over
+	waiting []*call // for a connection, in order
 	conns   map[*outbox.Outbox]*conn
 	free    []*conn // the last used at the end, and used last: by then its close or a second reply would show
-	dialing int
-	opens   uint64 // connections opened so far
-	backoff time.Duration
+	dialing int     // dials under way, given up or not
+	dialled []*dial // those that calls wait for, in order: never more than such calls
+	opens   uint64  // connections opened so far
+	backoff *backoff.Backoff
+	wait    time.Duration // before the next dial
 }
 
+// dial is one attempt to open a connection.
 type dial struct {
-	addr string
-	wait time.Duration // before that
+	addr   string
+	wait   time.Duration // before it
+	ctx    context.Context
+	giveUp context.CancelFunc
 }
 
 // conn is one connection to the store.
@@ -74,11 +81,15 @@
 	end   *deadline.Entry
 }
 
+// purpose sets the store's jitter apart from that of other links of one server.
+const purpose = 0x5702e
+
 // New returns a Link over up to most connections that reports the end of each call with reply, within
-// the loop.
-func New(addr string, most int, loop Loop, reply func(id string, r Reply, body []byte), log *logging.Limiter) *Link {
-	return &Link{addr: addr, loop: loop, reply: reply, log: log, dials: make(chan dial, most),
-		calls: map[string]*call{}, conns: map[*outbox.Outbox]*conn{}}
+// the loop. What it tries again is spread by seed.
+func New(addr string, most int, seed uint64, loop Loop, reply func(id string, r Reply, body []byte), log *logging.Limiter) *Link {
+	return &Link{addr: addr, loop: loop, reply: reply, log: log, dials: make(chan *dial, most),
+		calls: map[string]*call{}, conns: map[*outbox.Outbox]*conn{},
+		backoff: backoff.New(backoffLeast, backoffMost, seed, purpose)}
 }
 
 // Run opens connections as calls need them, until ctx ends.
@@ -95,20 +106,20 @@
 }
 
 // serve runs one connection from its dial to its end.
-func (l *Link) serve(ctx context.Context, to dial) {
+func (l *Link) serve(ctx context.Context, to *dial) {
+	defer context.AfterFunc(ctx, to.giveUp)()
 	select {
-	case <-ctx.Done():
-		return
+	case <-to.ctx.Done():
 	case <-time.After(to.wait):
 	}
 	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", to.addr)
+	nc, err := d.DialContext(to.ctx, "tcp", to.addr)
 	if err != nil {
-		l.loop.Post(func() { l.refused(to.addr, err) })
+		l.loop.Post(func() { l.refused(to, err) })
 		return
 	}
 	w := outbox.New(nc, outRoom)
-	l.loop.Post(func() { l.opened(to.addr, w) })
+	l.loop.Post(func() { l.opened(to, w) })
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, w.Close)()
 	g.Go(w.Run)
@@ -157,23 +168,40 @@
 
 // next takes the call that waits for longest.
 func (l *Link) next() *call {
-	for len(l.waiting) > 0 {
-		c := l.waiting[0]
-		l.waiting[0] = nil
-		l.waiting = l.waiting[1:]
-		if l.calls[c.id] == c {
-			return c
-		}
+	if len(l.waiting) == 0 {
+		return nil
 	}
-	return nil
+	c := l.waiting[0]
+	l.waiting = slices.Delete(l.waiting, 0, 1)
+	return c
 }
 
-// dial has connections opened for the calls that wait, as far as there may be more.
+// dial has connections opened for the calls that wait, as far as there may be more, and gives up the oldest dials
+// that no call waits for any more: where the store does not answer at all they would hang for their whole time,
+// and the calls that come next would wait for them.
 func (l *Link) dial() {
-	for l.dialing < len(l.waiting) && l.dialing+len(l.conns) < cap(l.dials) {
+	for len(l.dialled) > len(l.waiting) {
+		l.dialled[0].giveUp()
+		l.dialled = slices.Delete(l.dialled, 0, 1)
+	}
+	for len(l.dialled) < len(l.waiting) && l.dialing+len(l.conns) < cap(l.dials) {
+		d := &dial{addr: l.addr, wait: l.wait}
+		d.ctx, d.giveUp = context.WithCancel(context.Background())
 		l.dialing++
-		l.dials <- dial{l.addr, l.backoff}
+		l.dialled = append(l.dialled, d)
+		l.dials <- d
+	}
+}
+
+// dialEnded notes the end of a dial, and reports whether it had been given up.
+func (l *Link) dialEnded(d *dial) (givenUp bool) {
+	l.dialing--
+	d.giveUp() // frees its context
+	i := slices.Index(l.dialled, d)
+	if i >= 0 {
+		l.dialled = slices.Delete(l.dialled, i, i+1)
 	}
+	return i < 0
 }
 
 // Drop gives up the call for request id and reports whether there is one; nothing is told of it any more.
@@ -195,6 +223,9 @@
 	delete(l.calls, c.id)
 	if c.on != nil {
 		c.on.call = nil
+	} else if i := slices.Index(l.waiting, c); i >= 0 {
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+		l.dial()
 	}
 }
 
@@ -210,7 +241,8 @@
 	if addr == l.addr {
 		return
 	}
-	l.addr, l.backoff = addr, 0
+	l.addr = addr
+	l.reached()
 	for _, w := range l.free {
 		l.loop.Deadlines.Cancel(w.idle)
 		l.close(w)
@@ -219,23 +251,35 @@
 	for _, w := range l.conns {
 		l.loop.Deadlines.Add(l.loop.Now()+finish, w.Close)
 	}
+	for _, d := range l.dialled {
+		d.giveUp() // nothing new goes to the old address
+	}
+	l.dialled = nil
+	l.dial()
+}
+
+// reached has the next dial made at once.
+func (l *Link) reached() {
+	l.backoff.Reset()
+	l.wait = 0
 }
 
 // Opens is how many connections have been opened.
 func (l *Link) Opens() uint64 { return l.opens }
 
-func (l *Link) opened(addr string, w *outbox.Outbox) {
-	l.dialing--
-	if addr != l.addr {
+func (l *Link) opened(d *dial, w *outbox.Outbox) {
+	l.dialEnded(d)
+	if d.addr != l.addr {
 		w.Close()
 		l.dial()
 		return
 	}
 	l.opens++
-	l.backoff = 0
-	c := &conn{Outbox: w, addr: addr}
+	l.reached()
+	c := &conn{Outbox: w, addr: d.addr}
 	l.conns[w] = c
 	l.use(c)
+	l.dial()
 }
 
 // use gives w to a call that waits, or keeps it for a moment.
@@ -260,17 +304,16 @@
 	return false
 }
 
-func (l *Link) refused(addr string, err error) {
-	l.dialing--
-	if addr == l.addr {
-		l.backoff = min(max(2*l.backoff, backoffLeast), backoffMost)
+func (l *Link) refused(d *dial, err error) {
+	if !l.dialEnded(d) {
+		l.wait = l.backoff.Next()
 		l.log.Warn("store", "no connection to the store", err)
 		if c := l.next(); c != nil {
 			l.end(c)
 			l.reply(c.id, Refused, nil)
 		}
 	}
-	l.dial() // one to an address of the past proves nothing about the calls that wait
+	l.dial() // one that was given up proves nothing about the calls that wait
 }
 
 func (l *Link) replied(o *outbox.Outbox, id string, r Reply, body []byte) {
--- a/internal/store/link_test.go
+++ b/internal/store/link_test.go
@@ -28,7 +28,7 @@
 func newLoop(t *testing.T, addr string) *loop {
 	l := &loop{T: t, in: make(chan func(), 10), due: deadline.New()}
 	log, _ := test.NewNullLogger()
-	l.link = New(addr, 4, Loop{Post: func(f func()) { l.in <- f }, Now: func() time.Duration { return l.now }, Deadlines: l.due},
+	l.link = New(addr, 4, 1, Loop{Post: func(f func()) { l.in <- f }, Now: func() time.Duration { return l.now }, Deadlines: l.due},
 		func(id string, r Reply, body []byte) { l.ends = append(l.ends, fmt.Sprintf("%s %d %s", id, r, body)) },
 		logging.NewLimiter(log))
 	ctx, cancel := context.WithCancel(context.Background())
