--- a/decide/api.go
+++ b/decide/api.go
@@ -201,12 +201,29 @@
 	Log                         // Text for the operators
 )
 
+// Reason tells why a request was turned away.
+type Reason uint8
+
+// The kinds of Reason.
+const (
+	CoresBehind Reason = iota // this server's cores are behind
+	CallsBehind               // what lies below is behind or failing
+	TooLate                   // its aim has passed, or cannot be met any more
+	MemoryFull                // no room
+	Leaving                   // this server leaves
+)
+
+func (r Reason) String() string {
+	return [...]string{"cores behind", "calls behind", "too late", "memory full", "leaving"}[r]
+}
+
 // Action is something that the server is to do, in the order given.
 type Action struct {
 	Kind      ActionKind
 	ID        RequestID
 	StayAway  time.Duration // Refuse: how long to avoid this server; 0 = no advice
 	DontRetry bool          // Refuse: ask not to try elsewhere
+	Why       Reason        // Refuse
 	Cap       time.Duration // Call
 	For       time.Duration // Keep, IdleLimit
 	Good      bool          // Health
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -70,6 +70,7 @@
 	memorySafe = 0.92                   // of the memory; the rest is for what is being read; ours
 	crowdSafe  = 0.8                    // of the crowd survived, calls in hand included; ours
 	sweepEvery = 100 * time.Millisecond // the periodic timer; ours
+	restMost   = 10                     // sweeps from one to the next at rest, gauges are good for 1 s; ours
 	dueMargin  = 20 * time.Millisecond  // an answer goes out this long before it is due; ours
 	stopMargin = 80 * time.Millisecond  // the last answers go out this long before the process ends; ours
 
@@ -163,35 +164,25 @@
 	c.hold(j)
 }
 
-type reason uint8
-
-const (
-	whyCores  reason = iota // this server's cores are behind
-	whyCalls                // what lies below is behind or failing
-	whyLate                 // its aim has passed, or cannot be met any more
-	whyMemory               // no room
-	whyDrain                // this server leaves
-)
-
 // turnAway decides on reading. First the guards, then the design's share, then what is hopeless.
-func (c *Controller) turnAway(j *job) (reason, bool) {
+func (c *Controller) turnAway(j *job) (Reason, bool) {
 	k := &c.s.Classes[j.class]
 	if c.draining && (j.arrived > c.noticeAt+c.s.DrainGrace || c.finish(j) > c.stopAt-stopMargin) {
-		return whyDrain, true
+		return Leaving, true
 	}
 	if c.memory > c.memoryLimit() || k.Safety == Keyed && !c.keep(j) {
-		return whyMemory, true
+		return MemoryFull, true
 	}
 	if c.onCores >= c.s.Cores && c.rng.Float64() >= c.share {
-		return whyCores, true
+		return CoresBehind, true
 	}
 	for c.finish(j) > j.aim {
 		// Cores that idle beside a hold show that calls are short, whatever the forecast says.
 		calls := k.Calls && !c.skips(j) &&
 			(float64(c.onCores) < c.runLimit && c.heldN > 0 || c.callWait() > c.coreWait(j))
-		why := whyCores
+		why := CoresBehind
 		if calls {
-			why = whyCalls
+			why = CallsBehind
 		}
 		v := c.victim(j, calls)
 		if v == nil {
@@ -326,7 +317,7 @@
 				if !c.tooLate(j) {
 					break
 				}
-				c.refuse(j, whyLate)
+				c.refuse(j, TooLate)
 				refused = true
 			}
 			cs.hold[0] = nil
@@ -375,13 +366,13 @@
 		}
 		if c.memory+(c.s.RunBlow-1)*j.kb > c.memoryLimit() {
 			if c.runs == 0 {
-				c.refuse(j, whyMemory)
+				c.refuse(j, MemoryFull)
 				continue
 			}
 			return
 		}
 		if c.draining && c.now+c.service(j) > c.stopAt-stopMargin {
-			c.refuse(j, whyDrain)
+			c.refuse(j, Leaving)
 			continue
 		}
 		c.run(j)
@@ -431,17 +422,17 @@
 }
 
 // refuse turns away a request that never ran.
-func (c *Controller) refuse(j *job, why reason) {
+func (c *Controller) refuse(j *job, why Reason) {
 	if c.now-j.arrived > scale(j.aim-j.arrived, lateRefusal) {
-		why = whyLate // too little is left for a try elsewhere
+		why = TooLate // too little is left for a try elsewhere
 	}
 	// A storm: others are as full, and each try elsewhere costs reading and mostly a new connection. Where
 	// further tries are not marked, the part that is refused here stands for them.
-	if why == whyCores && !c.s.MarksRepeat {
+	if why == CoresBehind && !c.s.MarksRepeat {
 		c.arrivals.add(c.now, 0, 1)
 	}
-	storm := why == whyCores && c.arrivals.b > stormPart*c.arrivals.a
-	a := Action{Kind: Refuse, ID: j.id, DontRetry: why == whyCalls || why == whyLate || storm}
+	storm := why == CoresBehind && c.arrivals.b > stormPart*c.arrivals.a
+	a := Action{Kind: Refuse, ID: j.id, Why: why, DontRetry: why == CallsBehind || why == TooLate || storm}
 	if !a.DontRetry {
 		a.StayAway = c.stayAway(why)
 	}
@@ -641,7 +632,7 @@
 	}
 	switch full := c.memory > c.memoryLimit(); {
 	case lead != nil && lead.state == held && full:
-		c.refuse(j, whyMemory)
+		c.refuse(j, MemoryFull)
 	case lead != nil && lead.state == held:
 		c.follow(j, lead)
 	case full:
@@ -754,7 +745,7 @@
 		switch d.kind {
 		case dueAnswer:
 			if d.job.state <= following {
-				c.refuse(d.job, whyLate)
+				c.refuse(d.job, TooLate)
 			} else {
 				c.fail(d.job)
 			}
@@ -783,11 +774,11 @@
 
 // ---- Health and advice ------------------------------------------------------------------------
 
-func (c *Controller) stayAway(why reason) time.Duration {
+func (c *Controller) stayAway(why Reason) time.Duration {
 	if !c.s.RetryAfter && c.s.MaxRetryAfter <= 0 {
 		return 0
 	}
-	if why == whyDrain {
+	if why == Leaving {
 		return c.s.MaxRetryAfter
 	}
 	return min(max(seconds(c.heldWork/c.pace()/2), stayLeast), c.s.MaxRetryAfter)
@@ -914,6 +905,25 @@
 	return nil
 }
 
+// sweep is the periodic part of the decisions.
+func (c *Controller) sweep() {
+	c.shed() // though no core is free
+	c.weigh()
+	c.adjustShare()
+	c.adjustRuns()
+	c.adjustCalls()
+	c.adjustLinks()
+	c.adjustHealth()
+	c.reports()
+}
+
+// atRest: nothing is in hand and nothing recovers, so that sweeps would find what the last one found. They
+// are made up for when something happens, or when restMost have come together.
+func (c *Controller) atRest() bool {
+	return len(c.jobs) == 0 && !c.draining && c.lingers == 0 && c.share == 1 && !c.unwell &&
+		(c.callShare >= callsRaise || !c.callTime.set) && c.gauges.OnCores >= 0 && c.gauges.OnCores < 1
+}
+
 // Step takes the events of one batch, all at now, and appends the actions that answer them. A batch
 // without events is legal; the first one may be empty and starts the timers.
 func (c *Controller) Step(now time.Duration, events []Event, actions []Action) []Action {
@@ -927,20 +937,14 @@
 			c.emit(Action{Kind: Advertise, Value: all / float64(max(c.s.Callers, 1))})
 		}
 	}
+	c.makeUp()
 	for i := range events {
 		c.event(&events[i])
 	}
 	c.expire()
 	if c.now >= c.sweepAt {
 		c.sweepAt = c.now + sweepEvery
-		c.shed() // though no core is free
-		c.weigh()
-		c.adjustShare()
-		c.adjustRuns()
-		c.adjustCalls()
-		c.adjustLinks()
-		c.adjustHealth()
-		c.reports()
+		c.sweep()
 	}
 	c.fill()
 	c.wake()
--- /dev/null
+++ b/decide/rest_test.go
@@ -0,0 +1,125 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var calm = Gauges{CoreUse: 0.02, OnCores: 0, Heap: 0.1, Links: 20}
+
+// wakes steps c at the times that it asks for, up to until, and returns how often that was.
+func wakes(c *Controller, until time.Duration, g Gauges) (n int) {
+	for ; c.wakeAt <= until; n++ {
+		c.Step(c.wakeAt, []Event{{Kind: Timer, Gauges: g}}, nil)
+	}
+	return n
+}
+
+// A server of a large fleet has nothing to do for most of the time. It used to wake up ten times a second for
+// that, with two more turns for the gauges each time.
+func TestAServerAtRestSleeps(t *testing.T) {
+	c := start(t, settings())
+	c.Step(1, []Event{{Kind: Timer, Gauges: calm}}, nil)
+	n := wakes(c, 10*time.Second, calm)
+	if n < 9 || n > 12 {
+		t.Errorf("%d wakes in ten seconds at rest", n)
+	}
+	// While the share recovers it is awake.
+	c.share = 0.3 // of which the sweeps left out so far make up for some
+	c.Step(c.wakeAt, []Event{{Kind: Timer, Gauges: calm}}, nil)
+	if n = wakes(c, c.now+2*time.Second, calm); n < 19 {
+		t.Errorf("%d wakes in two seconds of recovery", n)
+	}
+	// And while something is in hand.
+	c.Step(c.now+1, []Event{req(1, 1)}, nil)
+	if n = wakes(c, c.now+time.Second, calm); n < 9 {
+		t.Errorf("%d wakes in a second with a run", n)
+	}
+}
+
+// What is left out at rest is made up for: a controller that is woken only when it asks acts as one that is woken
+// for every sweep, and its state is the same.
+func TestRestChangesNoDecision(t *testing.T) {
+	for seed := range uint64(30) {
+		sleeps, sweeps := start(t, settings()), start(t, settings())
+		rng := rand.New(rand.NewPCG(seed, 5))
+		now, id := time.Duration(0), RequestID(0)
+		sleeps.Step(1, []Event{{Kind: Timer, Gauges: calm}}, nil)
+		sweeps.Step(1, []Event{{Kind: Timer, Gauges: calm}}, nil)
+		for round := range 20 {
+			now += time.Duration(rng.IntN(60)+1) * 100 * ms
+			wakes(sleeps, now, calm)
+			for sweeps.sweepAt <= now {
+				sweeps.Step(sweeps.sweepAt, []Event{{Kind: Timer, Gauges: calm}}, nil)
+			}
+			now = max(sweeps.now, sleeps.now) + 50*ms // within a sweep
+			id++
+			class := 1 + rng.IntN(3)
+			script := [][]Event{{req(id, class)}, {{Kind: WantsCall, ID: id}},
+				{{Kind: CallResult, ID: id, Outcome: OK, Took: time.Duration(rng.IntN(40)) * ms}},
+				{{Kind: Done, ID: id, Outcome: OK, Took: 30 * ms}}}
+			for _, events := range script {
+				a := sleeps.Step(now, events, nil)
+				b := sweeps.Step(now, events, nil)
+				if got, want := deeds(a), deeds(b); got != want {
+					t.Fatalf("seed %d, round %d: %s, and without rest %s", seed, round, got, want)
+				}
+				now += 10 * ms
+			}
+			// Both see the end of the recovery awake.
+			for range 40 {
+				now += 100 * ms
+				sleeps.Step(now, []Event{{Kind: Timer, Gauges: calm}}, nil)
+				sweeps.Step(now, []Event{{Kind: Timer, Gauges: calm}}, nil)
+			}
+			if got, want := state6(sleeps), state6(sweeps); got != want {
+				t.Fatalf("seed %d, round %d: %s, and without rest %s", seed, round, got, want)
+			}
+		}
+	}
+}
+
+// deeds are the actions but for wakes.
+func deeds(as []Action) (s string) {
+	for _, a := range as {
+		if a.Kind != Wake {
+			s += fmt.Sprintf("%+v; ", a)
+		}
+	}
+	return s
+}
+
+// state6 is what sweeps change, rounded.
+func state6(c *Controller) string {
+	return fmt.Sprintf("share %.6f calls %.6f best %.6f runs %.6f wait %.6f links %v", c.share, c.callShare, c.callBest,
+		c.runLimit, c.readWait.v, c.idleSaid)
+}
+
+// BenchmarkStep is a step that takes in one request and ends another, with so many in hand.
+func BenchmarkStep(b *testing.B) {
+	for _, inHand := range []int{0, 10, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("held=%d", inHand), func(b *testing.B) {
+			s := settings()
+			s.MemoryKB, s.Cores = 1e9, 64
+			for i := range s.Classes {
+				s.Classes[i].Aim, s.Classes[i].Deadline = time.Hour, time.Hour
+			}
+			c := start(b, s)
+			now, id := time.Duration(1), RequestID(0)
+			for range inHand {
+				id++
+				c.Step(now, []Event{{Kind: Request, ID: id, Class: 0, MemoryKB: 1, Hint: time.Microsecond}}, nil)
+			}
+			var actions []Action
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				now += 100 * time.Microsecond
+				actions = c.Step(now, []Event{{Kind: Request, ID: id, Class: 3, MemoryKB: 1, Hint: time.Microsecond},
+					{Kind: Gone, ID: id}}, actions[:0])
+			}
+		})
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -109,6 +109,7 @@
 	gauges                         Gauges
 	logs                           [5]condition // what the operators were told last
 	wakeAt, sweepAt                time.Duration
+	resting                        bool // sweeps are left out
 	draining                       bool
 	noticeAt, stopAt               time.Duration
 }
@@ -270,9 +271,22 @@
 	return false
 }
 
+// makeUp makes the sweeps that were left out at rest, before anything new is looked at: they then find what each
+// would have found at its time.
+func (c *Controller) makeUp() {
+	c.sweepAt = max(c.sweepAt, c.now-restMost*sweepEvery) // a machine may stand still for longer
+	for ; c.resting && c.sweepAt < c.now; c.sweepAt += sweepEvery {
+		c.sweep()
+	}
+	c.resting = false
+}
+
 // wake asks for the next timer: the sweep, or an earlier due time.
 func (c *Controller) wake() {
 	next := c.sweepAt
+	if c.resting = c.atRest(); c.resting {
+		next += (restMost - 1) * sweepEvery
+	}
 	if !c.dues.empty() {
 		next = min(next, c.dues.headAt())
 	}
--- a/internal/server/keys_test.go
+++ b/internal/server/keys_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,3 +107,31 @@
 	require.Equal(t, []any{Invalid, Served, Invalid, Served}, p.got)
 	require.EqualValues(t, 1, s.stats.Runs)
 }
+
+// BenchmarkKeys is the life of a key in a table of so many: taken, run, ended, found again, dropped.
+func BenchmarkKeys(b *testing.B) {
+	for _, size := range []int{10, 1000, 100000} {
+		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
+			table := newKeyTable(192)
+			life := func(i int, drop bool) {
+				r := &request{id: decide.RequestID(i + 1), try: Try{Once: fmt.Sprintf("%032x", i), Body: make([]byte, 256)}, window: time.Hour}
+				table.take(r)
+				table.ran(r)
+				table.ended(r, decide.OK, nil)
+				again := &request{id: r.id + 1<<32, try: r.try}
+				table.take(again)
+				table.left(again)
+				if e := table.left(r); drop {
+					table.drop(e)
+				}
+			}
+			for i := range size {
+				life(i, false)
+			}
+			b.ReportAllocs()
+			for i := size; b.Loop(); i++ {
+				life(i, true)
+			}
+		})
+	}
+}
