Tell at debug level what became of each request, with its id, reason and times

Need: to follow a request that ended wrong through every image server that had a try of it; the counters tell of classes only, and a refusal's reason was known to the controller alone.

At other levels it costs a look at a flag.

--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -76,3 +76,6 @@
 		due.do()
 	}
 }
+
+// Len is how many deadlines are entered.
+func (q *Queue) Len() int { return q.tree.Len() }
--- a/internal/msgpackrpc/peers_test.go
+++ b/internal/msgpackrpc/peers_test.go
@@ -66,6 +66,15 @@
 
 // startAt runs one on a socket that listens already, as one of the processes that meet at path.
 func startAt(t *testing.T, ln net.Listener, path string, oldNew ...string) *peers {
+	p := startLate(t, ln, path, oldNew...)
+	p.greet <- "steady"
+	p.expect("subscribe", "")
+	p.quiet() // the server is ready once it samples
+	return p
+}
+
+// startLate runs one whose agent does not greet yet.
+func startLate(t *testing.T, ln net.Listener, path string, oldNew ...string) *peers {
 	p := &peers{T: t, over: make(chan error, 1), commands: make(chan command, 100), samples: make(chan struct{}),
 		greet: make(chan string, 1), calls: make(chan storeCall, 10)}
 	text, err := os.ReadFile("../config/testdata/config.json")
@@ -96,9 +105,6 @@
 	go p.serveAgent(agent)
 	go p.serveStore(store)
 	t.Cleanup(func() { cancel(); agent.Close(); store.Close() })
-	p.greet <- "steady"
-	p.expect("subscribe", "")
-	p.quiet() // the server is ready once it samples
 	return p
 }
 
@@ -124,7 +130,11 @@
 				p.mu.Lock()
 				p.agent = nc
 				p.mu.Unlock()
-				fmt.Fprintf(nc, `{"cmd":"greeting","result":%q,"elapsed_ms":3600000}`+"\n", state)
+				elapsed := 3600000
+				if state == "booting" {
+					elapsed = 0
+				}
+				fmt.Fprintf(nc, `{"cmd":"greeting","result":%q,"elapsed_ms":%d}`+"\n", state, elapsed)
 			case "sample":
 				select {
 				case p.samples <- struct{}{}:
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -101,6 +101,7 @@
 		return
 	}
 	s.settle(r)
+	s.leavesTrail(r, "gone")
 	s.hangUp(r)
 	s.happened(decide.Event{Kind: decide.Gone, ID: r.id})
 	if !r.running {
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -19,6 +19,7 @@
 	}
 	s.peers.use(st, s.clock.now)
 	s.count(r.class, a.Kind)
+	s.leavesTrail(r, answerNames[a.Kind])
 	r.peer.Answer(r.call, a)
 }
 
@@ -44,6 +45,7 @@
 }
 
 func (s *Server) refuse(r *request, a decide.Action) {
+	r.trail.why = a.Why.String()
 	s.answer(r, Answer{Kind: Refused, After: a.StayAway, Last: a.DontRetry})
 	if !r.running {
 		s.forget(r)
@@ -52,6 +54,7 @@
 
 // fail answers r with an error. Its run, if there is one, goes on to its end or next call.
 func (s *Server) fail(r *request) {
+	r.trail.why = "given up"
 	s.answer(r, Answer{Kind: Failed})
 	s.hangUp(r)
 	if !r.running {
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -26,6 +26,8 @@
 	}
 	s.stats.Calls++
 	r.asked = s.clock.now
+	r.trail.calls++
+	r.trail.reply = "none yet"
 	s.store.Call(r.try.ID, s.clock.now+limit, r.waits)
 }
 
@@ -68,6 +70,8 @@
 	default:
 		s.stats.CallsFailed++
 	}
+	r.trail.inCall += s.clock.now - r.asked
+	r.trail.reply = replyNames[outcomes[reply]]
 	s.happened(decide.Event{Kind: decide.CallResult, ID: r.id, Outcome: outcomes[reply],
 		Took: s.clock.now - r.asked})
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -37,16 +37,18 @@
 	waits  []byte // body of the call that its run waits for
 	offset int64  // of the notice that asked for that call
 	asked  time.Duration
+	trail  trail
 }
 
 // Server is one image server. All of its state belongs to the loop; other goroutines hand functions
 // to it over a bounded channel.
 type Server struct {
-	cfg   *config.Config
-	log   logrus.FieldLogger
-	warn  *logging.Limiter
-	in    chan func()
-	ended chan struct{} // closed when the loop is over
+	cfg    *config.Config
+	log    logrus.FieldLogger
+	warn   *logging.Limiter
+	trails bool // a line for each request
+	in     chan func()
+	ended  chan struct{} // closed when the loop is over
 
 	clock     clock
 	deadlines *deadline.Queue
@@ -85,7 +87,7 @@
 
 // New returns a Server; nothing happens before Run.
 func New(cfg *config.Config, log logrus.FieldLogger) *Server {
-	s := &Server{cfg: cfg, log: log, warn: logging.NewLimiter(log), in: make(chan func(), inRoom),
+	s := &Server{cfg: cfg, log: log, warn: logging.NewLimiter(log), trails: debugs(log), in: make(chan func(), inRoom),
 		ended: make(chan struct{}), clock: clock{read: time.Now}, deadlines: deadline.New(),
 		classes: map[string]int{}, requests: map[decide.RequestID]*request{}, byWire: map[string]*request{},
 		open: make(chan struct{}), partners: partners{claims: map[string][]*request{}},
--- /dev/null
+++ b/internal/server/trail.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"time"
+
+	"falldeal/decide"
+
+	"github.com/sirupsen/logrus"
+)
+
+// The trail: where the log's level is debug, one line for each request that tells what became of it and where its
+// time went, so that a request can be followed by its id over all image servers that had a try of it. Below that
+// level it costs one look at a flag.
+
+// trail is what a request leaves for its line.
+type trail struct {
+	why    string        // it was refused or failed
+	ran    time.Duration // when its run began; 0 = never
+	calls  int
+	inCall time.Duration // over all that have ended
+	reply  string        // how the last call ended
+}
+
+var answerNames = [...]string{Served: "served", Refused: "refused", Failed: "failed", Invalid: "invalid"}
+
+// leavesTrail logs the line of r, which has just got its answer, or whose caller has gone.
+func (s *Server) leavesTrail(r *request, end string) {
+	if !s.trails {
+		return
+	}
+	at := s.clock.own(r.try.At)
+	fields := logrus.Fields{"id": r.try.ID, "class": s.cfg.Classes[r.class], "from": r.try.Caller, "end": end,
+		"after_ms": (s.clock.now - at).Milliseconds(), "wait_ms": r.try.Wait.Milliseconds(),
+		"cost_ms": r.try.Cost.Milliseconds()}
+	if r.try.Once != "" {
+		fields["once"] = r.try.Once
+	}
+	if r.trail.why != "" {
+		fields["why"] = r.trail.why
+	}
+	if r.trail.ran > 0 {
+		fields["held_ms"], fields["run_ms"] = (r.trail.ran - at).Milliseconds(), (s.clock.now - r.trail.ran).Milliseconds()
+	}
+	if r.trail.calls > 0 {
+		fields["calls"], fields["in_call_ms"], fields["call"] = r.trail.calls, r.trail.inCall.Milliseconds(), r.trail.reply
+	}
+	s.log.WithFields(fields).Debug("request")
+}
+
+// debugs reports whether log takes lines of the level debug.
+func debugs(log logrus.FieldLogger) bool {
+	l, ok := log.(*logrus.Logger)
+	return ok && l.IsLevelEnabled(logrus.DebugLevel)
+}
+
+// replyNames are how a call ended, by what that proves.
+var replyNames = [...]string{decide.OK: "ok", decide.Failed: "failed", decide.Rejected: "turned away", decide.TimedOut: "timed out",
+	decide.Unreachable: "unreachable", decide.Aborted: "broke", decide.Moot: "void"}
--- a/internal/store/cut_test.go
+++ b/internal/store/cut_test.go
@@ -3,29 +3,20 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
-	"syscall"
 	"testing"
 	"time"
 
+	"falldeal/lab/standin"
+
 	"github.com/stretchr/testify/require"
 )
 
-// mute is an address at which a dial neither succeeds nor fails, as behind a cut: it listens, but its queue of
-// connections is full, and the kernel drops what comes.
+// mute is an address behind a cut.
 func mute(t *testing.T) string {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	require.NoError(t, err)
-	t.Cleanup(func() { syscall.Close(fd) })
-	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-	require.NoError(t, syscall.Listen(fd, 0))
-	sa, err := syscall.Getsockname(fd)
-	require.NoError(t, err)
-	addr := fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
-	nc, err := net.Dial("tcp", addr)
+	m, err := standin.NewMute()
 	require.NoError(t, err)
-	t.Cleanup(func() { nc.Close() })
-	return addr
+	t.Cleanup(m.Close)
+	return m.Addr
 }
 
 // A zone is cut off: dials hang. A call that was given up takes its dial along. Before that, dials for calls that
