--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,24 +45,24 @@
 	offeredMemory = 8 * time.Second // over which arrivals and the mix of tenants are seen; ours
 
 	// Calls.
-	callsLeast    = 0.37                    // least bound on calls in hand, of the share survived; ours
-	callsStart    = 0.5                     // the bound to begin with; ours
-	callsRaise    = 0.75                    // the highest it gets while calls are as quick as ever; ours
-	callsDown     = 0.95                    // factor on it a sweep while calls are slow; ours
-	callsUp       = 0.01                    // added a sweep otherwise; ours
-	callsSlow     = 2.5                     // times the best mean time, above which calls are slow; ours
-	callsDrift    = 1.001                   // growth of that best a sweep, so that it is found anew; ours
-	callsSafe     = 0.9                     // of that share that is never passed in the mean; ours
+	callsLeast    = 0.37                   // least bound on calls in hand, of the share survived; ours
+	callsStart    = 0.5                    // the bound to begin with; ours
+	callsRaise    = 0.75                   // the highest it gets while calls are as quick as ever; ours
+	callsDown     = 0.95                   // factor on it a sweep while calls are slow; ours
+	callsUp       = 0.01                   // added a sweep otherwise; ours
+	callsSlow     = 2.5                    // times the best mean time, above which calls are slow; ours
+	callsDrift    = 1.001                  // growth of that best a sweep, so that it is found anew; ours
+	callsSafe     = 0.9                    // of that share that is never passed in the mean; ours
 	callsPace     = 300 * time.Millisecond // of the bound that may be saved up; ours
-	callsBuckets  = 50                      // of the time that counts for the fall; ours
-	callsMost     = 2                       // tries of one call; ours
-	callBackoff   = 100 * time.Millisecond  // before a call is tried again; ours
-	callsRoom     = 4.0                     // mean times that a call over the share must have; ours
-	hangUpSlow    = 2.0                     // mean times after which a call given up has failed; ours
-	callsFew      = 0.1                     // least calls a run that are reckoned with; ours
-	callGain      = 0.1                     // weight of a new call in its mean time; ours
-	waitersPerOut = 1.0                     // waiting for a call, for each in hand, that hold back runs; ours
-	skipWait      = 0.3                     // of the time left that a call is waited for, else skipped; ours
+	callsBuckets  = 50                     // of the time that counts for the fall; ours
+	callsMost     = 2                      // tries of one call; ours
+	callBackoff   = 100 * time.Millisecond // before a call is tried again; ours
+	callsRoom     = 4.0                    // mean times that a call over the share must have; ours
+	hangUpSlow    = 2.0                    // mean times after which a call given up has failed; ours
+	callsFew      = 0.1                    // least calls a run that are reckoned with; ours
+	callGain      = 0.1                    // weight of a new call in its mean time; ours
+	waitersPerOut = 1.0                    // waiting for a call, for each in hand, that hold back runs; ours
+	skipWait      = 0.3                    // of the time left that a call is waited for, else skipped; ours
 
 	// Guards.
 	reuseRoom  = 0.5                    // of the memory in use, up to which answers are kept for reads; ours
--- a/decide/symptoms_test.go
+++ b/decide/symptoms_test.go
@@ -345,8 +345,12 @@
 		t.Errorf("a call of %v right after one of 1 s on a share of %v", got, s.CallsOut)
 	}
 	c.pass(23 * time.Second)
+	if got := c.mayCall(time.Second); got > 0 {
+		t.Errorf("a call of %v after 2 s, though one of 1 s takes 4 s of a bound of %v", got, c.callLimit())
+	}
+	c.pass(24*time.Second + 100*ms)
 	if c.mayCall(time.Second) <= 0 {
-		t.Error("no call though none was made for 2 s")
+		t.Error("no call though the last one is paid back")
 	}
 }
 
