Send seldom callers off for as long as they would stay away anyway, while reading is behind

The list sent front ends elsewhere seconds late, and so changed nothing.

Cause: refusals carried advice to stay away of 0.1 s, or none where the caller should try nowhere else (`refuse` and `stayAway`). With 150 front ends, each of which comes to a server every few seconds, that says nothing.

Change: while reads wait for more than 0.08 of the shortest aim, the advice lasts at least as long as the mean gap between two requests of one caller here (callers of the settings over the arrivals of 8 s), bounded by what the settings let be heeded, and refusals that are too late carry it as well. Where few callers send much, the gap is under 0.1 s and nothing changes: they would leave the server idle.

--- /dev/null
+++ b/decide/behind_test.go
@@ -0,0 +1,48 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// Half of a fleet's front ends ask one server for the same keys. Reading alone then takes its cores, and advice of
+// a tenth of a second says nothing to a front end that comes every few seconds anyway.
+func TestAdviceOutlastsTheGapBetweenACallersRequests(t *testing.T) {
+	refusal := func(callers int, waited, work time.Duration) *Action {
+		s := settings()
+		s.Callers = callers
+		c := start(t, s)
+		now := time.Duration(0)
+		var last *Action
+		for id := RequestID(1); id <= 400; id++ {
+			now += 50 * ms // 20 requests a second
+			e := req(id, 1)
+			e.Waited, e.Hint = waited, work
+			if a := find(c.Step(now, []Event{e, {Kind: Timer, Gauges: calm}}, nil), Refuse, id); a != nil {
+				last = a
+			}
+		}
+		if last == nil {
+			t.Fatalf("%d callers: nothing refused", callers)
+		}
+		return last
+	}
+	// 150 callers with 20 requests a second come every 7.5 s, so they are sent off for as long as they heed, and
+	// those whose time is over hear so too, beside the wish to try nowhere else.
+	late := refusal(150, 900*ms, time.Second)
+	if late.Why != TooLate || !late.DontRetry || late.StayAway != time.Second {
+		t.Errorf("%+v", *late)
+	}
+	// Ten come every half second.
+	if a := refusal(10, 900*ms, time.Second); a.StayAway < 400*ms || a.StayAway > 600*ms {
+		t.Errorf("%+v", *a)
+	}
+	// One caller that sends all of them would leave the server idle: the advice is as it was.
+	if a := refusal(1, 900*ms, time.Second); a.StayAway != 0 {
+		t.Errorf("%+v", *a)
+	}
+	// Where reading is in time it is as it was as well.
+	if a := refusal(150, 0, 3*time.Second); a.StayAway >= time.Second {
+		t.Errorf("%+v", *a)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -76,6 +76,7 @@
 	// Health and advice.
 	stayLeast     = 100 * time.Millisecond // shortest advice to stay away; ours
 	readWaitMost  = 0.4                    // of the shortest aim that reads wait when it is unwell; ours
+	readLate      = 0.08                   // of the shortest aim that reads wait when they are behind; ours
 	readGain      = 0.1                    // weight of a new request in that mean; ours
 	readFade      = 0.98                   // factor on it a sweep, so that it falls though none comes; ours
 	healthLeast   = 500 * time.Millisecond // a health answer stands for this long at least; ours
@@ -439,6 +440,11 @@
 	if !a.DontRetry {
 		a.StayAway = c.stayAway(why)
 	}
+	// Reads that are behind take the cores from all else. Advice that ends before a caller would have come
+	// again is none: in a large fleet each comes seldom.
+	if gap := c.callerGap(); c.readWait.v > readLate*c.shortest().Seconds() && gap > stayLeast {
+		a.StayAway = max(a.StayAway, min(gap, c.s.MaxRetryAfter))
+	}
 	c.emit(a)
 	c.leave(j)
 }
@@ -786,6 +792,11 @@
 	return min(max(seconds(c.heldWork/c.pace()/2), stayLeast), c.s.MaxRetryAfter)
 }
 
+// callerGap is the mean time between two requests of one caller here.
+func (c *Controller) callerGap() time.Duration {
+	return scale(offeredMemory, float64(c.s.Callers)/max(c.arrivals.a, 1))
+}
+
 // reports tells the operators of changes of state; nothing is decided by it.
 func (c *Controller) reports() {
 	c.report(&c.logs[0], c.dropChance() > 0, "breaker drops calls")
