One accept loop for the stand-ins; the trail goes by the run's own beginning

Need: agent and store stand-ins had the same loop, and the debug line kept a second copy of when a run began.

Change: both call accept; the line uses what the request has. Behaviour and tests are as they were.

--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -19,7 +19,6 @@
 	}
 	s.stats.Runs++
 	r.running, r.began = true, s.clock.now
-	r.trail.ran = s.clock.now
 	s.keys.ran(r)
 	s.agent.Launch(r.try.ID, r.try.Class, r.try.Body)
 	r.try.Body = nil // the link has it for as long as it is needed
--- a/internal/server/trail.go
+++ b/internal/server/trail.go
@@ -14,8 +14,7 @@
 
 // trail is what a request leaves for its line.
 type trail struct {
-	why    string        // it was refused or failed
-	ran    time.Duration // when its run began; 0 = never
+	why    string // it was refused or failed
 	calls  int
 	inCall time.Duration // over all that have ended
 	reply  string        // how the last call ended
@@ -38,8 +37,8 @@
 	if r.trail.why != "" {
 		fields["why"] = r.trail.why
 	}
-	if r.trail.ran > 0 {
-		fields["held_ms"], fields["run_ms"] = (r.trail.ran - at).Milliseconds(), (s.clock.now - r.trail.ran).Milliseconds()
+	if r.running {
+		fields["held_ms"], fields["run_ms"] = (r.began - at).Milliseconds(), (s.clock.now - r.began).Milliseconds()
 	}
 	if r.trail.calls > 0 {
 		fields["calls"], fields["in_call_ms"], fields["call"] = r.trail.calls, r.trail.inCall.Milliseconds(), r.trail.reply
--- a/lab/standin/agent.go
+++ b/lab/standin/agent.go
@@ -72,13 +72,16 @@
 }
 
 // Serve accepts links until ln is closed.
-func (a *Agent) Serve(ln net.Listener) error {
+func (a *Agent) Serve(ln net.Listener) error { return accept(ln, a.read) }
+
+// accept has each connection read by a goroutine of its own, until ln is closed.
+func accept(ln net.Listener, read func(net.Conn)) error {
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
 			return err
 		}
-		go a.read(nc)
+		go read(nc)
 	}
 }
 
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -22,15 +22,7 @@
 func (s *Store) Calls() int64 { return s.calls.Load() }
 
 // Serve accepts connections until ln is closed.
-func (s *Store) Serve(ln net.Listener) error {
-	for {
-		nc, err := ln.Accept()
-		if err != nil {
-			return err
-		}
-		go s.read(nc)
-	}
-}
+func (s *Store) Serve(ln net.Listener) error { return accept(ln, s.read) }
 
 func (s *Store) read(nc net.Conn) {
 	defer nc.Close()
