--- /dev/null
+++ b/internal/fleet/rejoin.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Waits between calls to one address that is not reached, and how many are made at a time. The failure detection
+// forgets who has been lost for a while, so that somebody has to call.
+const (
+	rejoinFirst = time.Second
+	rejoinMost  = 30 * time.Second
+	rejoinAt    = 2
+)
+
+// Rejoin decides whom to call: seeds while nobody is reached, and members that are lost, so that a fleet which was
+// cut in two finds together whichever side looks. It belongs to one goroutine.
+type Rejoin struct {
+	seeds []string
+	rand  *rand.Rand
+	calls map[string]*calls
+}
+
+type calls struct {
+	wait time.Duration
+	next time.Duration
+}
+
+// NewRejoin returns a Rejoin that spreads its calls by rnd.
+func NewRejoin(seeds []string, rnd *rand.Rand) *Rejoin {
+	return &Rejoin{seeds: seeds, rand: rnd, calls: map[string]*calls{}}
+}
+
+// Seeds replaces the seeds.
+func (r *Rejoin) Seeds(seeds []string) { r.seeds = seeds }
+
+// Next returns the addresses to call now, two at most. Waits double, and half of each is drawn, so that a fleet does
+// not call at one instant; they begin anew once the address was reached. In a fleet of many only some need to call a
+// member that was lost: they wait longer by the logarithm of its size, so that all of them together do not call more
+// often in a larger fleet than it can bear.
+func (r *Rejoin) Next(now time.Duration, s *Snapshot) []string {
+	wanted := map[string]bool{}
+	reached := 0
+	for i := range s.Members {
+		switch m := &s.Members[i]; {
+		case m.Self:
+		case m.Standing == Alive || m.Standing == Suspect:
+			reached++
+		case m.Standing == Silent || m.Standing == Dead || m.Standing == Wedged && m.Stalled == 0:
+			if m.Addr != "" {
+				wanted[m.Addr] = true
+			}
+		}
+	}
+	if reached == 0 {
+		for _, a := range r.seeds {
+			wanted[a] = true
+		}
+	}
+	for a := range r.calls {
+		if !wanted[a] {
+			delete(r.calls, a)
+		}
+	}
+	var due []string
+	most := rejoinMost * time.Duration(1+log2(len(s.Members))/2)
+	for a := range wanted {
+		c := r.calls[a]
+		if c == nil {
+			// The first call waits, too, in a fleet of many: its loss is noticed by all at one instant.
+			c = &calls{wait: rejoinFirst, next: now + r.spread(time.Duration(reached)*rejoinFirst/4)}
+			r.calls[a] = c
+		}
+		if now >= c.next {
+			due = append(due, a)
+		}
+	}
+	slices.SortFunc(due, func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.calls[a].next, r.calls[b].next), cmp.Compare(a, b))
+	})
+	due = due[:min(len(due), rejoinAt)]
+	for _, a := range due {
+		c := r.calls[a]
+		c.next = now + c.wait/2 + r.spread(c.wait/2)
+		c.wait = min(2*c.wait, most)
+	}
+	return due
+}
+
+// spread draws a time below d.
+func (r *Rejoin) spread(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(r.rand.Int64N(int64(d)))
+}
+
+func log2(n int) (l int) {
+	for ; n > 1; n >>= 1 {
+		l++
+	}
+	return l
+}
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Member is one line of a snapshot. The record is shared and never changed.
+type Member struct {
+	*Record
+	Standing Standing
+	Self     bool
+	Made     time.Duration // when the record was told, at the latest; on the observer's clock
+	Since    time.Duration // of the reach that the standing goes by
+}
+
+// Age is how long ago the record was told, at least.
+func (m *Member) Age(now time.Duration) time.Duration { return max(now-m.Made, 0) }
+
+// Condition is what the member tells of itself where it is reached, and else what the observer makes of it.
+func (m *Member) Condition() string {
+	if m.Standing == Alive && m.State != 0 {
+		return m.State.String()
+	}
+	return m.Standing.String()
+}
+
+// Serves reports whether the member is reached and takes work, by a word that is no older than fresh.
+func (m *Member) Serves(now, fresh time.Duration) bool {
+	return m.Standing == Alive && (m.State == Serving || m.State == Warming) && m.Age(now) <= fresh
+}
+
+// Zone sums up the members of one zone.
+type Zone struct {
+	Region, Zone string
+	Known        int // all but those that left
+	Count        [Left + 1]int
+}
+
+// Reached is how many of its members answer in some way.
+func (z *Zone) Reached() int { return z.Count[Alive] + z.Count[Suspect] }
+
+// Dark reports whether at least half of what was a zone is silent: that is more likely a cut than so many deaths.
+func (z *Zone) Dark() bool { return z.Known >= zoneLeast && 2*z.Count[Silent] >= z.Known }
+
+// Position is how an observer stands to its fleet.
+type Position uint8
+
+const (
+	Alone  Position = iota // no other member was ever heard
+	Whole                  // everybody known is reached
+	Torn                   // some are not, and most are
+	CutOff                 // as many are silent as are reached, or more: this side must not speak for the fleet
+)
+
+var positionNames = [...]string{"alone", "whole", "torn", "cut off"}
+
+func (p Position) String() string { return positionNames[p] }
+
+// Snapshot is a view at one instant. Nothing in it changes any more; any goroutine may read it.
+type Snapshot struct {
+	At       time.Duration // on the observer's clock
+	Heard    time.Duration // when a word of another member came last; 0 = never
+	Self     string
+	Position Position
+	Members  []Member // by name
+	Zones    []Zone   // by region and zone
+	Total    Zone
+}
+
+// Snapshot returns what is known now.
+func (v *View) Snapshot(now time.Duration) *Snapshot {
+	s := &Snapshot{At: now, Heard: v.heard, Self: v.self, Members: make([]Member, 0, len(v.names))}
+	fresh := v.fresh()
+	for _, name := range v.names {
+		e := v.entries[name]
+		m := Member{Record: e.rec, Standing: e.standing(now, fresh), Self: name == v.self, Made: e.made, Since: e.met}
+		if c := e.current(); c != nil {
+			m.Since = c.since
+		}
+		if m.Record == nil {
+			m.Record = &Record{Name: name}
+			m.Made = e.met
+			if len(e.runs) > 0 {
+				m.Record.Run = e.runs[len(e.runs)-1].run
+			}
+		}
+		if m.Self && m.Standing != Left {
+			m.Standing = Alive
+			if m.Stalled > 0 {
+				m.Standing = Wedged
+			}
+		}
+		s.Members = append(s.Members, m)
+		s.zone(m.Region, m.Zone).add(m.Standing)
+		s.Total.add(m.Standing)
+	}
+	s.Position = s.position(v.anyone)
+	return s
+}
+
+func (s *Snapshot) zone(region, zone string) *Zone {
+	i, ok := slices.BinarySearchFunc(s.Zones, 0, func(z Zone, _ int) int {
+		if c := strings.Compare(z.Region, region); c != 0 {
+			return c
+		}
+		return strings.Compare(z.Zone, zone)
+	})
+	if !ok {
+		s.Zones = slices.Insert(s.Zones, i, Zone{Region: region, Zone: zone})
+	}
+	return &s.Zones[i]
+}
+
+func (z *Zone) add(s Standing) {
+	z.Count[s]++
+	if s != Left {
+		z.Known++
+	}
+}
+
+// position counts those that were heard of but not met as nothing: a word that still goes round says nothing of now.
+// Dead ones do not make an observer cut off, as their machines answer.
+func (s *Snapshot) position(anyone bool) Position {
+	t := &s.Total
+	switch lost := t.Count[Silent] + t.Count[Dead] + t.Count[Wedged]; {
+	case t.Count[Silent] > 0 && t.Count[Silent] >= t.Reached():
+		return CutOff
+	case !anyone:
+		return Alone
+	case lost+t.Count[Suspect] > 0:
+		return Torn
+	}
+	return Whole
+}
+
+// Find returns the member of that name, or nil.
+func (s *Snapshot) Find(name string) *Member {
+	i, ok := slices.BinarySearchFunc(s.Members, name, func(m Member, n string) int { return strings.Compare(m.Name, n) })
+	if !ok {
+		return nil
+	}
+	return &s.Members[i]
+}
+
+// Agreement is a digest of what should be the same at all members that can reach one another: which processes are
+// alive, and what each says it does.
+func (s *Snapshot) Agreement() uint64 {
+	h := fnv.New64a()
+	var b []byte
+	for i := range s.Members {
+		if m := &s.Members[i]; m.Standing == Alive || m.Standing == Wedged {
+			b = append(b[:0], m.Process()...)
+			b = append(b, byte(m.State), byte(m.Standing))
+			h.Write(b)
+		}
+	}
+	return h.Sum64()
+}
+
+// Sum is what members that serve have told, as far as it is fresh.
+type Sum struct {
+	Members, Stale int // counted, and left out as too old
+	Capacity, Busy float64
+	InHand         int
+	Oldest         time.Duration // age of the oldest word that counts
+}
+
+// Sum adds up the words of serving members that are no older than fresh.
+func (s *Snapshot) Sum(now, fresh time.Duration) (t Sum) {
+	for i := range s.Members {
+		m := &s.Members[i]
+		if !m.Serves(now, fresh) {
+			if m.Standing == Alive && m.Age(now) > fresh {
+				t.Stale++
+			}
+			continue
+		}
+		t.Members++
+		t.Capacity += m.Load.Capacity
+		t.Busy += m.Load.Capacity * max(m.Load.Busy, 0)
+		t.InHand += m.Load.InHand
+		t.Oldest = max(t.Oldest, m.Age(now))
+	}
+	return t
+}
--- /dev/null
+++ b/internal/operators/operators.go
@@ -0,0 +1,275 @@
+// Package operators is the one place where the operators' TOML file is read, checked and given its defaults. It holds
+// what the platform's configuration has no place for; without the file nothing of it exists.
+package operators
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"falldeal/internal/fleet"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Bounds, and defaults of keys that may be absent.
+const (
+	mostFile      = 1 << 20 // bytes of the file
+	mostKeys      = 8       // keys of a fleet in its key file
+	mostSeeds     = 64
+	leastProbe    = 100 * time.Millisecond
+	mostProbe     = 10 * time.Second
+	defaultProbe  = 500 * time.Millisecond
+	mostMembers   = 16384
+	defaultSize   = 300
+	leastForget   = time.Minute
+	mostForget    = 30 * 24 * time.Hour
+	defaultForget = 24 * time.Hour
+)
+
+// File is what operators set.
+type File struct {
+	Fleet *Fleet // nil: the file has no table [fleet]
+}
+
+// Fleet is the table [fleet].
+type Fleet struct {
+	Listen    string   // where this instance hears others; IP and port, TCP and UDP
+	Advertise string   // where others reach it, if that is elsewhere
+	Seeds     []string // where to look for others at first; its own address among them does no harm
+	Region    string
+	Zone      string
+	Keys      [][]byte      // of the key file, newest first; none: words travel in clear
+	Size      int           // members that are expected, for pacing
+	Limits    fleet.Limits  // of the view
+	Probe     time.Duration // between two probes of others
+}
+
+// table is [fleet] as it is written.
+type table struct {
+	Listen     string   `toml:"listen"`
+	Advertise  string   `toml:"advertise"`
+	Seeds      []string `toml:"seeds"`
+	Region     string   `toml:"region"`
+	Zone       string   `toml:"zone"`
+	KeyFile    string   `toml:"key_file"`
+	Size       *int     `toml:"size"`
+	MembersMax *int     `toml:"members_max"`
+	Forget     *string  `toml:"forget_after"`
+	Probe      *string  `toml:"probe_every"`
+}
+
+// Load reads the file at path, and the files that it names.
+func Load(path string) (*File, error) {
+	text, err := readBounded(path)
+	if err != nil {
+		return nil, fmt.Errorf("operators' file: %w", err)
+	}
+	f, err := Parse(text, filepath.Dir(path))
+	if err != nil {
+		return nil, fmt.Errorf("operators' file %s: %w", path, err)
+	}
+	return f, nil
+}
+
+func readBounded(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > mostFile {
+		return nil, fmt.Errorf("%s: %d bytes, want at most %d", path, info.Size(), mostFile)
+	}
+	return os.ReadFile(path)
+}
+
+// Parse reads the text of a file; an error names the key at fault. Files that it names are looked for in dir, unless
+// their paths are absolute.
+func Parse(text []byte, dir string) (*File, error) {
+	var raw struct {
+		Fleet *table `toml:"fleet"`
+	}
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(&raw); err != nil {
+		return nil, named(err)
+	}
+	if raw.Fleet == nil {
+		return &File{}, nil
+	}
+	f, err := raw.Fleet.checked(dir)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.%w", err)
+	}
+	return &File{Fleet: f}, nil
+}
+
+// named has an error of the library name the key.
+func named(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		e := strict.Errors[0]
+		row, _ := e.Position()
+		return fmt.Errorf("%s: no such key (line %d)", strings.Join(e.Key(), "."), row)
+	}
+	var one *toml.DecodeError
+	if errors.As(err, &one) {
+		row, _ := one.Position()
+		if key := strings.Join(one.Key(), "."); key != "" {
+			return fmt.Errorf("%s: %w (line %d)", key, one, row)
+		}
+		return fmt.Errorf("line %d: %w", row, one)
+	}
+	return err
+}
+
+func (t *table) checked(dir string) (*Fleet, error) {
+	f := &Fleet{Listen: t.Listen, Advertise: t.Advertise, Seeds: t.Seeds, Region: t.Region, Zone: t.Zone, Size: defaultSize,
+		Probe: defaultProbe, Limits: fleet.Limits{Members: mostMembers / 4, Forget: defaultForget}}
+	if f.Advertise == "" {
+		f.Advertise = f.Listen
+	}
+	addrs := []struct{ key, addr string }{{"listen", f.Listen}, {"advertise", f.Advertise}}
+	for i, s := range f.Seeds {
+		addrs = append(addrs, struct{ key, addr string }{"seeds[" + strconv.Itoa(i) + "]", s})
+	}
+	for _, a := range addrs {
+		if err := address(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.key, err)
+		}
+	}
+	if host, _, _ := net.SplitHostPort(f.Advertise); net.ParseIP(host).IsUnspecified() {
+		return nil, fmt.Errorf("advertise: %s is an address that nobody can call", f.Advertise)
+	}
+	if len(f.Seeds) > mostSeeds {
+		return nil, fmt.Errorf("seeds: %d, want at most %d", len(f.Seeds), mostSeeds)
+	}
+	for _, w := range []struct{ key, word string }{{"region", f.Region}, {"zone", f.Zone}} {
+		if err := place(w.word); err != nil {
+			return nil, fmt.Errorf("%s: %w", w.key, err)
+		}
+	}
+	if err := whole("size", t.Size, 1, mostMembers, &f.Size); err != nil {
+		return nil, err
+	}
+	if err := whole("members_max", t.MembersMax, 2, mostMembers, &f.Limits.Members); err != nil {
+		return nil, err
+	}
+	if f.Size > f.Limits.Members {
+		return nil, fmt.Errorf("size: %d, and members_max is %d", f.Size, f.Limits.Members)
+	}
+	if err := span("forget_after", t.Forget, leastForget, mostForget, &f.Limits.Forget); err != nil {
+		return nil, err
+	}
+	if err := span("probe_every", t.Probe, leastProbe, mostProbe, &f.Probe); err != nil {
+		return nil, err
+	}
+	if t.KeyFile != "" {
+		path := t.KeyFile
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(dir, path)
+		}
+		text, err := readBounded(path)
+		if err == nil {
+			f.Keys, err = keys(text)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("key_file: %w", err)
+		}
+	}
+	return f, nil
+}
+
+// address accepts a numeric address with a port: there is no name service to ask.
+func address(addr string) error {
+	if addr == "" {
+		return errors.New("missing")
+	}
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%q is not an IP address", host)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("%q is not a port", port)
+	}
+	return nil
+}
+
+// place accepts the name of a region or zone.
+func place(s string) error {
+	switch {
+	case s == "":
+		return errors.New("missing")
+	case len(s) > fleet.MaxText:
+		return fmt.Errorf("%d bytes, want at most %d", len(s), fleet.MaxText)
+	}
+	for _, c := range s {
+		if c <= ' ' || c > '~' {
+			return fmt.Errorf("%q has a character that is no printable ASCII", s)
+		}
+	}
+	return nil
+}
+
+func whole(key string, given *int, least, most int, v *int) error {
+	if given == nil {
+		return nil
+	}
+	if *given < least || *given > most {
+		return fmt.Errorf("%s: %d is not between %d and %d", key, *given, least, most)
+	}
+	*v = *given
+	return nil
+}
+
+func span(key string, given *string, least, most time.Duration, v *time.Duration) error {
+	if given == nil {
+		return nil
+	}
+	d, err := time.ParseDuration(*given)
+	if err != nil {
+		return fmt.Errorf("%s: %w", key, err)
+	}
+	if d < least || d > most {
+		return fmt.Errorf("%s: %v is not between %v and %v", key, d, least, most)
+	}
+	*v = d
+	return nil
+}
+
+// keys reads a key file: a key of 16, 24 or 32 bytes a line, in hex digits; blank lines and such that begin with # are
+// skipped. The first one encrypts; all of them are understood.
+func keys(text []byte) (all [][]byte, err error) {
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for n := 1; lines.Scan(); n++ {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		key, err := hex.DecodeString(line)
+		if err != nil || !slices.Contains([]int{16, 24, 32}, len(key)) {
+			return nil, fmt.Errorf("line %d: want 32, 48 or 64 hex digits", n) // without the line: it is a secret
+		}
+		all = append(all, key)
+	}
+	switch {
+	case lines.Err() != nil:
+		return nil, lines.Err()
+	case len(all) == 0:
+		return nil, errors.New("no key in it")
+	case len(all) > mostKeys:
+		return nil, fmt.Errorf("%d keys, want at most %d", len(all), mostKeys)
+	}
+	return all, nil
+}
