--- a/cmd/falldeal/main.go
+++ b/cmd/falldeal/main.go
@@ -2,31 +2,21 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
-	"math"
-	"net"
 	"os"
-	"os/signal"
+	"path/filepath"
 	"runtime"
-	"runtime/debug"
 	"syscall"
-	"time"
 
 	"falldeal/internal/config"
-	"falldeal/internal/console"
-	"falldeal/internal/logging"
-	"falldeal/internal/msgpackrpc"
-	"falldeal/internal/server"
+	"falldeal/internal/process"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/pflag"
 )
 
-const heapShare = 0.7 // of the memory limit, for the garbage collector to keep to
-
 // version is set by the linker where a release is built.
 var version = "dev"
 
@@ -37,10 +27,18 @@
             addresses of agent, store and announce read again
   check     read the configuration, say what is wrong with it, and exit
   version   print the version
+  fleet     ask an instance what it knows of the others: fleet --help
+  lab       start fleets with faults between their members: lab --help
 
 Flags of serve and check:
 `
 
+// Programs beside this one that carry out what weighs too much for a start of the server alone.
+const (
+	fleetProgram = "falldeal-fleet"
+	labProgram   = "falldeal-lab"
+)
+
 func main() {
 	if err := command(os.Args[1:], os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "falldeal:", err)
@@ -48,9 +46,26 @@
 	}
 }
 
+// become replaces this process by another program of the same folder.
+var become = func(program string, args []string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(filepath.Dir(self), program)
+	return fmt.Errorf("%s: %w", path, syscall.Exec(path, append([]string{path}, args...), os.Environ()))
+}
+
 func command(args []string, out io.Writer) error {
+	if len(args) > 0 && args[0] == "fleet" {
+		return become(fleetProgram, args)
+	}
+	if len(args) > 0 && args[0] == "lab" {
+		return become(labProgram, args[1:])
+	}
 	flags := pflag.NewFlagSet("falldeal", pflag.ContinueOnError)
 	path := flags.String("config", "", "configuration file (default: the variable GW_CONFIG)")
+	operators := flags.String("operators", "", "operators' file, TOML; it may have this instance know the others of its fleet")
 	level := flags.String("log-level", "info", "least level that is logged: debug, info, warning, error")
 	flags.Usage = func() { fmt.Fprint(out, usage, flags.FlagUsages()) }
 	if err := flags.Parse(args); err != nil {
@@ -63,7 +78,11 @@
 		flags.Usage()
 		return fmt.Errorf("want one command, got %d", flags.NArg())
 	}
-	switch name := flags.Arg(0); name {
+	name := flags.Arg(0)
+	if *operators != "" && (name == "serve" || name == "check") {
+		return become(fleetProgram, args)
+	}
+	switch name {
 	case "version":
 		fmt.Fprintln(out, "falldeal", version, runtime.Version())
 		return nil
@@ -84,75 +103,9 @@
 		}
 		log := logrus.New()
 		log.SetLevel(lvl)
-		return serve(c, *path, log)
+		return process.Serve(c, *path, log, process.Part{})
 	default:
 		flags.Usage()
 		return fmt.Errorf("unknown command %q", name)
 	}
 }
-
-// listen opens the socket for front ends, or takes over the one that was left open for this process.
-func listen(c *config.Config, log *logging.Limiter) (*msgpackrpc.Front, error) {
-	if c.Inherited != 0 {
-		return msgpackrpc.Inherit(c.Inherited, c.Limits.FrontSockets(), log)
-	}
-	return msgpackrpc.Listen(c.Listen, c.Limits.FrontSockets(), log)
-}
-
-// serve runs the server until a drain is over. Whatever then still hangs on a socket does not keep
-// the process past its time.
-func serve(c *config.Config, path string, log *logrus.Logger) error {
-	runtime.GOMAXPROCS(max(int(math.Ceil(c.Limits.Cores)), 1))
-	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB<<20)))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	front, err := listen(c, logging.NewLimiter(log))
-	if err != nil {
-		return err
-	}
-	log.WithField("addr", front.Addr().String()).Info("listening")
-	s := server.New(c, log)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	if c.Console != "" {
-		ln, err := net.Listen("tcp", c.Console)
-		if err != nil {
-			return fmt.Errorf("console: %w", err)
-		}
-		go func() {
-			if err := console.Serve(ctx, ln, s, logging.NewLimiter(log)); err != nil {
-				log.WithError(err).Error("no console any more")
-			}
-		}()
-	}
-	over := make(chan error, 1)
-	go func() { over <- s.Run(ctx, front) }()
-
-	inForce := c
-	var late <-chan time.Time
-	ended := s.Ended()
-	for {
-		select {
-		case sig := <-signals:
-			switch sig {
-			case syscall.SIGUSR1:
-				s.PrintStats()
-			case syscall.SIGHUP:
-				next, err := inForce.Successor(path)
-				if err == nil {
-					inForce = next
-				}
-				s.Reload(next, err)
-			default:
-				s.Drain()
-			}
-		case <-ended:
-			ended, late = nil, time.After(server.LastWrites)
-		case err := <-over:
-			return err
-		case <-late:
-			log.Warn("connections still open at the end")
-			return nil
-		}
-	}
-}
--- a/cmd/falldeal/main_test.go
+++ b/cmd/falldeal/main_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"falldeal/internal/config"
+	"falldeal/internal/process"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
@@ -80,7 +81,7 @@
 	failed := make(chan string, 1)
 	log.AddHook(onError(failed))
 	over := make(chan error, 1)
-	go func() { over <- serve(c, "", log) }()
+	go func() { over <- process.Serve(c, "", log, process.Part{}) }()
 	accept := func(i int) {
 		nc, err := agents[i].Accept()
 		require.NoError(t, err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"net"
 	"os"
@@ -283,3 +284,30 @@
 		seen[c.Classes[i]] = true
 	}
 }
+
+// Digest tells two configurations apart by what decisions are based on: instances that are to do the same have the
+// same one. The file is that of Load. What differs between instances by itself, addresses and whether a server is
+// cold, is left out.
+func Digest(path string) (uint64, error) {
+	if path == "" {
+		path = os.Getenv(envPath)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0, fmt.Errorf("configuration: %w", err)
+	}
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return 0, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	set := v.Get("settings")
+	if set == nil {
+		return 0, fmt.Errorf("configuration %s: settings: missing", path)
+	}
+	if info := set.Get("FamilyInfo"); info != nil {
+		info.Del("Cold")
+	}
+	h := fnv.New64a()
+	h.Write(set.MarshalTo(nil))
+	return h.Sum64(), nil
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -40,13 +40,20 @@
 	Restore(ctx context.Context) error
 }
 
+// Page is one call more that a subsystem answers. Do must not block.
+type Page struct {
+	Pattern string // as that of an http.ServeMux
+	Type    string // of what Do returns
+	Do      func() []byte
+}
+
 // Serve answers calls that come to ln until ctx ends. It closes ln.
-func Serve(ctx context.Context, ln net.Listener, s Operated, warn *logging.Limiter) error {
-	return inService.serve(ctx, ln, s, warn)
+func Serve(ctx context.Context, ln net.Listener, s Operated, warn *logging.Limiter, pages ...Page) error {
+	return inService.serve(ctx, ln, s, warn, pages...)
 }
 
-func (l limits) serve(ctx context.Context, ln net.Listener, s Operated, warn *logging.Limiter) error {
-	srv := &http.Server{Handler: l.handler(s), ReadTimeout: l.call, WriteTimeout: l.call + l.answer + l.write,
+func (l limits) serve(ctx context.Context, ln net.Listener, s Operated, warn *logging.Limiter, pages ...Page) error {
+	srv := &http.Server{Handler: l.handler(s, pages), ReadTimeout: l.call, WriteTimeout: l.call + l.answer + l.write,
 		MaxHeaderBytes: maxHeader, ErrorLog: log.New(lines{warn}, "", 0)}
 	srv.SetKeepAlivesEnabled(false)
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
@@ -64,7 +71,7 @@
 	return len(b), nil
 }
 
-func (l limits) handler(s Operated) http.Handler {
+func (l limits) handler(s Operated, pages []Page) http.Handler {
 	mux := http.NewServeMux()
 	answer := func(pattern string, do func(context.Context) (int, []byte, error)) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
@@ -96,5 +103,11 @@
 	answer("POST /undrain", func(ctx context.Context) (int, []byte, error) {
 		return http.StatusOK, []byte("front ends are welcome\n"), s.Restore(ctx)
 	})
+	for _, p := range pages {
+		mux.HandleFunc(p.Pattern, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", p.Type)
+			_, _ = w.Write(p.Do())
+		})
+	}
 	return mux
 }
--- /dev/null
+++ b/internal/fleet/report.go
@@ -0,0 +1,93 @@
+package fleet
+
+import "time"
+
+// Report is a snapshot as the console gives it, and as scripts read it. Times are in milliseconds; an age is at least
+// that. Fields are added, never renamed.
+type Report struct {
+	Self     string           `json:"self"`
+	Position string           `json:"position"`
+	HeardMs  int64            `json:"heard_ms"` // since the last word of another member; -1 = none
+	PeriodMs int64            `json:"period_ms"`
+	FreshMs  int64            `json:"fresh_ms"` // words older than that are overdue
+	Members  []MemberReport   `json:"members"`
+	Zones    []ZoneReport     `json:"zones"`
+	Total    ZoneReport       `json:"total"`
+	Fresh    SumReport        `json:"fresh"`
+	Counters map[string]int64 `json:"counters,omitempty"`
+}
+
+// MemberReport is a line of it.
+type MemberReport struct {
+	Name        string  `json:"name"`
+	Process     string  `json:"process"`
+	Incarnation uint64  `json:"incarnation"`
+	Region      string  `json:"region"`
+	Zone        string  `json:"zone"`
+	Condition   string  `json:"condition"` // what it says where it is reached, else what is made of it here
+	Told        string  `json:"told"`      // what it said last
+	AgeMs       int64   `json:"age_ms"`    // of that
+	SinceMs     int64   `json:"since_ms"`  // it has been reached, or not, for that long
+	Version     string  `json:"version"`
+	Config      string  `json:"config"`
+	Addr        string  `json:"addr"`
+	Cores       float64 `json:"cores"`
+	Busy        float64 `json:"busy"` // -1 = unknown
+	InHand      int     `json:"in_hand"`
+	Share       float64 `json:"share"`
+	Shed        float64 `json:"shed"`
+	Self        bool    `json:"self,omitempty"`
+}
+
+// ZoneReport counts the members of a zone.
+type ZoneReport struct {
+	Region  string `json:"region,omitempty"`
+	Zone    string `json:"zone,omitempty"`
+	Known   int    `json:"known"`
+	Alive   int    `json:"alive"`
+	Suspect int    `json:"suspect"`
+	Wedged  int    `json:"wedged"`
+	CutOff  int    `json:"cut_off"`
+	Dead    int    `json:"dead"`
+	Left    int    `json:"left"`
+	HeardOf int    `json:"heard_of"`
+	Dark    bool   `json:"dark"`
+}
+
+// SumReport is what fresh words of serving members add up to.
+type SumReport struct {
+	Members  int     `json:"members"`
+	Stale    int     `json:"stale"` // alive, and their words too old to count
+	Cores    float64 `json:"cores"`
+	Busy     float64 `json:"busy"` // cores in use
+	InHand   int     `json:"in_hand"`
+	OldestMs int64   `json:"oldest_ms"`
+}
+
+func (z *Zone) report() ZoneReport {
+	return ZoneReport{z.Region, z.Zone, z.Known, z.Count[Alive], z.Count[Suspect], z.Count[Wedged], z.Count[Silent], z.Count[Dead],
+		z.Count[Left], z.Count[HeardOf], z.Dark()}
+}
+
+// Report puts the snapshot into words, as of now.
+func (s *Snapshot) Report(now time.Duration) Report {
+	n := len(s.Members)
+	r := Report{Self: s.Self, Position: s.Position.String(), HeardMs: -1, PeriodMs: Period(n).Milliseconds(),
+		FreshMs: Fresh(n).Milliseconds(), Total: s.Total.report(), Members: make([]MemberReport, 0, n)}
+	if s.Position != Alone {
+		r.HeardMs = (now - s.Heard).Milliseconds()
+	}
+	for i := range s.Members {
+		m := &s.Members[i]
+		r.Members = append(r.Members, MemberReport{Name: m.Name, Process: m.Process(), Incarnation: m.Incarnation, Region: m.Region,
+			Zone: m.Zone, Condition: m.Condition(), Told: m.State.String(), AgeMs: m.Age(now).Milliseconds(),
+			SinceMs: max(now-m.Since, 0).Milliseconds(), Version: m.Version, Config: hex(m.Config), Addr: m.Addr, Cores: m.Load.Capacity,
+			Busy: m.Load.Busy, InHand: m.Load.InHand, Share: m.Load.Share, Shed: m.Load.Shed, Self: m.Self})
+	}
+	for i := range s.Zones {
+		r.Zones = append(r.Zones, s.Zones[i].report())
+	}
+	t := s.Sum(now, Fresh(n))
+	r.Fresh = SumReport{t.Members, t.Stale, t.Capacity, t.Busy, t.InHand, t.Oldest.Milliseconds()}
+	return r
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -66,8 +66,8 @@
 	Suspicions, Objections                     atomic.Int64 // raised by this process; against this process
 }
 
-// Fleet is this process's part of a fleet. Tell, Snapshot and Now may be called from any goroutine; New starts
-// nothing but the sockets, and Run takes part until its context ends.
+// Fleet is this process's part of a fleet. Snapshot and Now may be called from any goroutine; Run takes part until
+// its context ends.
 type Fleet struct {
 	Counters Counters
 
@@ -132,7 +132,8 @@
 	found fleet.Evidence
 }
 
-// New returns a process's part in a fleet. An error names the key of [fleet] at fault.
+// New returns a process's part in a fleet; nothing happens before Listen and Run. An error names the key of [fleet] at
+// fault.
 func New(cfg Config, logger logrus.FieldLogger) (*Fleet, error) {
 	f := &Fleet{cfg: cfg, log: logger, warn: logging.NewLimiter(logger), started: time.Now(),
 		statuses: make(chan fleet.Status, 1), changes: make(chan Change, 1), words: make(chan word, wordsWait),
@@ -149,18 +150,23 @@
 		}
 		f.keyring = ring
 	}
-	transport := cfg.Transport
+	f.view.Joined(0, 0, f.self.Record())
+	f.snapshot.Store(f.view.Snapshot(0))
+	return f, nil
+}
+
+// Listen opens the sockets. Run does so where it was not called.
+func (f *Fleet) Listen() error {
+	transport := f.cfg.Transport
 	if transport == nil {
-		t, err := listen(cfg.Listen, log.New(lines{f}, "", 0))
+		t, err := listen(f.cfg.Listen, log.New(lines{f}, "", 0))
 		if err != nil {
-			return nil, fmt.Errorf("fleet.listen: %w", err)
+			return fmt.Errorf("fleet.listen: %w", err)
 		}
 		transport = t
 	}
 	f.wire = &wire{NodeAwareTransport: transport, count: &f.Counters, seen: map[string]bool{}}
-	f.view.Joined(0, 0, f.self.Record())
-	f.snapshot.Store(f.view.Snapshot(0))
-	return f, nil
+	return nil
 }
 
 // Now is the time on this process's clock, by which snapshots go. It runs on while the process is stopped.
@@ -190,6 +196,11 @@
 
 // Run takes part until ctx ends, and then says good-bye.
 func (f *Fleet) Run(ctx context.Context) error {
+	if f.wire == nil {
+		if err := f.Listen(); err != nil {
+			return err
+		}
+	}
 	list, err := memberlist.Create(f.settings())
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
@@ -239,6 +250,10 @@
 			if f.self.Loop(f.Now(), s) {
 				f.tell()
 			}
+			if s.Replaced && !f.left {
+				f.log.Info("fleet: a newer process takes this one's place")
+				f.leave()
+			}
 		case c := <-f.changes:
 			f.change(c)
 		case w := <-f.words:
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -18,6 +18,7 @@
 
 type drainState struct {
 	on       bool
+	replaced bool          // a newer process goes on
 	stopAt   time.Duration // when the loop ends at the latest
 	shutAt   time.Duration // when the listeners are closed: nothing that arrives later would be run
 	shutDone bool
@@ -39,12 +40,13 @@
 		} else {
 			s.announcer.Set(false)
 		}
-		s.drain = drainState{on: true, stopAt: now + max(stop-endMargin, 0)}
+		s.drain = drainState{on: true, replaced: replaced, stopAt: now + max(stop-endMargin, 0)}
 		s.drain.shutAt = min(now+shut, s.drain.stopAt)
 		s.happened(decide.Event{Kind: decide.Notice, At: s.drain.stopAt, Replaced: replaced})
 		for _, st := range s.peers.states {
 			s.tellClosing(st)
 		}
+		s.tellFleet()
 		s.deadlines.Add(s.drain.shutAt, s.shut)
 		s.deadlines.Add(s.drain.stopAt, func() {}) // so that the loop looks at the time
 	})
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -36,6 +36,7 @@
 func (s *Server) joinedNewer(l *handover.Link) {
 	s.log.Info("a newer process has joined")
 	s.newer = l
+	s.tellFleet()
 	var all []handover.Message
 	for _, e := range s.keys.entries {
 		all = append(all, e.all()...)
@@ -55,6 +56,7 @@
 func (s *Server) serveOnceReady() {
 	if s.synced && s.ctl != nil {
 		s.openFronts()
+		s.tellFleet()
 	}
 }
 
--- /dev/null
+++ b/internal/server/member.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"time"
+
+	"falldeal/internal/fleet"
+)
+
+// Fleet is where the loop tells how this server is, and where it reads what is known of the others. Neither blocks.
+type Fleet interface {
+	Tell(fleet.Status)
+	Snapshot() *fleet.Snapshot
+}
+
+// tellEvery is how often the loop speaks: one that stands still is missed by that.
+const tellEvery = time.Second
+
+// member is this server as a member of a fleet; nil where it is in none, and then it costs nothing.
+type member struct {
+	fleet     Fleet
+	warmAt    time.Duration
+	answered  uint64 // requests of which the last word told
+	turnedOff uint64 // and those of them that were not served
+}
+
+// Join has the server tell a fleet how it is. It is called before Run.
+func (s *Server) Join(f Fleet) { s.member = &member{fleet: f} }
+
+// keepTelling tells the fleet now and each second from now on.
+func (s *Server) keepTelling() {
+	if s.member != nil {
+		s.tellFleet()
+		s.deadlines.Add(s.clock.now+tellEvery, s.keepTelling)
+	}
+}
+
+// tellFleet tells the fleet how this server is: at once where that has changed.
+func (s *Server) tellFleet() {
+	m := s.member
+	if m == nil {
+		return
+	}
+	st := fleet.Status{State: s.memberState(), Replaced: s.newer != nil || s.drain.on && s.drain.replaced, Load: fleet.Load{
+		Capacity: float64(s.cfg.Settings.Cores), Busy: -1, InHand: len(s.requests), Share: s.cfg.Settings.CallsOut}}
+	if s.clock.now-s.gaugesAt <= gaugesFresh {
+		st.Load.Busy = s.gauges.CoreUse
+	}
+	var all, off uint64
+	for _, a := range s.stats.Answers {
+		all += a.Served + a.Refused + a.Failed
+		off += a.Refused + a.Failed
+	}
+	if all > m.answered {
+		st.Load.Shed = float64(off-m.turnedOff) / float64(all-m.answered)
+	}
+	m.answered, m.turnedOff = all, off
+	m.fleet.Tell(st)
+}
+
+func (s *Server) memberState() fleet.State {
+	switch {
+	case s.drain.on || s.withdrawn:
+		return fleet.Draining
+	case s.ctl == nil || !s.opened:
+		return fleet.Starting
+	case s.clock.now < s.member.warmAt:
+		return fleet.Warming
+	}
+	return fleet.Serving
+}
--- a/internal/server/operate.go
+++ b/internal/server/operate.go
@@ -59,6 +59,7 @@
 			s.log.WithField("withdrawn", on).Info("told by an operator whether front ends are welcome")
 			s.withdrawn = on
 			s.tellWithdrawn()
+			s.tellFleet()
 		}
 		return false
 	})
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -65,6 +65,10 @@
 	s.log.WithFields(map[string]any{"state": n.Result, "age": n.Elapsed.String()}).Info("agent is up")
 	s.ctl = ctl
 	s.serveOnceReady()
+	if s.member != nil && set.Cold {
+		s.member.warmAt = s.clock.now - n.Elapsed + set.ColdFor
+	}
+	s.tellFleet()
 	s.happened(decide.Event{Kind: decide.Timer, Gauges: unknownGauges}) // the first step
 	if s.withdrawn {
 		s.tellWithdrawn()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -83,6 +83,7 @@
 	opened  bool
 	drain   drainState
 	partners
+	member *member
 }
 
 // New returns a Server; nothing happens before Run.
@@ -165,6 +166,7 @@
 func (s *Server) loop(ctx context.Context) {
 	defer close(s.ended)
 	defer s.leave()
+	s.keepTelling()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !s.finished() {
