Laboratory: fleets of real processes, faults between them, histories and their checker

Need: what instances do when parts fail has to be shown with the shipped program and judged by what others saw.

Found by it: a process that ended said its good-bye too late for any packet, so that others called it cut off and then dead; it now goes to eight members at once.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -34,7 +34,8 @@
 	syncWords   = 32                     // words of others in a later exchange
 	wordRepeats = 3                      // a word is passed on this many times the logarithm of the fleet's size
 	streamLimit = 2 * time.Second        // for a call to another process
-	leaveLimit  = 200 * time.Millisecond // for the good-bye to be told
+	leaveLimit  = 200 * time.Millisecond // for the good-bye to be told by the failure detection, too
+	leaveTold   = 8                      // members that are told of it at once
 	linesMost   = 64                     // lines of log for one publication
 	syncAtLeast = 15 * time.Second       // between two full exchanges with one other member
 	syncPerName = 100 * time.Millisecond // the same by the expected size: an exchange names everybody
@@ -399,8 +400,7 @@
 		return
 	}
 	if !f.self.Yielded() {
-		f.self.Leaving(f.Now())
-		f.tell()
+		f.goodBye()
 	}
 	f.left = true
 	if err := f.list.Leave(leaveLimit); err != nil {
@@ -411,6 +411,28 @@
 	}
 }
 
+// goodBye makes the last word and sends it to some members at once: the process may be over before the next packet of
+// the ordinary kind goes out.
+func (f *Fleet) goodBye() {
+	now := f.Now()
+	r := f.self.Leaving(now)
+	f.view.Joined(now, 0, r)
+	w := word{r, now, f.Now}
+	f.queue.QueueBroadcast(&w)
+	s := f.Snapshot()
+	sent := 0
+	for _, i := range rand.Perm(len(s.Members)) {
+		m := &s.Members[i]
+		if m.Self || m.Standing != fleet.Alive || sent == leaveTold {
+			continue
+		}
+		sent++
+		if err := f.list.SendToAddress(memberlist.Address{Addr: m.Addr, Name: m.Process()}, w.Message()); err != nil {
+			f.log.WithError(err).Debug("fleet: good-bye not sent")
+		}
+	}
+}
+
 // call has those called that are not reached, one round at a time.
 func (f *Fleet) call(now time.Duration) {
 	s := f.Snapshot()
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -108,7 +108,8 @@
 	err := w.errs[addr]
 	var timeout net.Error
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED), !w.seen[addr] && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)):
+	case errors.Is(err, syscall.ECONNREFUSED), 
+		!w.seen[addr] && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)):
 		return fleet.Refused
 	case errors.Is(err, errConnected):
 		return fleet.Accepted
@@ -130,6 +131,9 @@
 func (s *stream) Write(b []byte) (int, error) {
 	n, err := s.Conn.Write(b)
 	s.wire.count.StreamBytes.Add(int64(n))
+	if err != nil {
+		s.wire.note(s.addr, err)
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/lab/fleetlab/lab.go
@@ -0,0 +1,462 @@
+// Package fleetlab starts fleets of real processes of the shipped program on loopback, with stand-ins for all that they
+// talk to, and breaks what lies between them (package faults). Each process has addresses of its own in 127.0.0.0/8.
+//
+// What it leaves out: a machine for each instance (all share this one's cores, so that a large fleet is slow of its
+// own), the network's bandwidth, and clocks that differ between processes, which need privileges or another program.
+package fleetlab
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"falldeal/internal/fleet"
+	"falldeal/lab/callers"
+	"falldeal/lab/faults"
+	"falldeal/lab/history"
+	"falldeal/lab/plant"
+	"falldeal/lab/standin"
+)
+
+// Options say what to start.
+type Options struct {
+	Binary  string // the program; what it needs beside it is there
+	Dir     string // for files of the processes; made if it is not there
+	Members int
+	Zones   []string // members are spread over them in turn
+	Region  string
+	Seed    uint64
+	Probe   time.Duration
+	Keyed   bool // the fleet's words are encrypted
+	Level   string
+
+	Cores   int           // of each agent; every other member's are slower
+	ColdFor time.Duration // of an agent that has just started
+	Slots   int           // of the store of each zone
+	Call    time.Duration // of a call in a slot
+	Classes []callers.Class
+}
+
+// Defaults are options of a small fleet in three zones.
+func Defaults() Options {
+	return Options{Members: 6, Zones: []string{"brussel-noord", "zaventem", "mechelen"}, Region: "belgium", Seed: 1,
+		Probe: 500 * time.Millisecond, Level: "info", Cores: 4, ColdFor: 4 * time.Second, Slots: 16, Call: 30 * time.Millisecond,
+		Classes: []callers.Class{
+			{Name: "preview", Share: 0.6, Work: 40 * time.Millisecond, Wait: 4 * time.Second, Aim: 1900 * time.Millisecond, Worth: 1},
+			{Name: "hires-crop", Share: 0.3, Work: 90 * time.Millisecond, Wait: 4 * time.Second, Aim: 1900 * time.Millisecond, Worth: 2},
+			{Name: "licence-order", Share: 0.1, Work: 60 * time.Millisecond, Wait: 4 * time.Second, Aim: 1900 * time.Millisecond, Worth: 3, Keyed: true}}}
+}
+
+// Window is within which an order must not run again; it stands in the servers' settings.
+const Window = 17457 * time.Millisecond
+
+// Lab is a fleet of processes and what is round it.
+type Lab struct {
+	Log      *history.Log
+	Relay    *faults.Relay
+	Members  []*Member
+	Announce *standin.Announce
+	Stores   map[string]*standin.Store // by zone
+
+	opt     Options
+	net     int // second part of all addresses
+	guard   net.Listener
+	closers []io.Closer
+	key     string
+
+	mu     sync.Mutex
+	script *faults.Script
+	begun  map[int]bool // faults of the script that were begun, and ended
+	ended  map[int]bool
+	lists  []listed
+}
+
+type listed struct {
+	at    time.Duration
+	names []string
+}
+
+// Member is one instance and, while it runs, its process.
+type Member struct {
+	Name, Zone                   string
+	Front, Console, Fleet, Heard string // addresses: for front ends, operators, others (advertised), and where it listens for them
+
+	lab     *Lab
+	dir     string
+	agentAt string
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	agent   *standin.Agent
+	agentLn net.Listener
+	ended   chan struct{}
+	starts  int
+	late    bool
+}
+
+// New prepares a fleet; no process runs before Start.
+func New(o Options) (*Lab, error) {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	l := &Lab{Log: history.NewLog(), Relay: faults.NewRelay(o.Seed), Announce: &standin.Announce{}, Stores: map[string]*standin.Store{},
+		opt: o, begun: map[int]bool{}, ended: map[int]bool{}, script: &faults.Script{}}
+	if err := l.reserve(); err != nil {
+		return nil, err
+	}
+	if err := l.prepare(); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// reserve finds a part of loopback that no other laboratory uses now.
+func (l *Lab) reserve() (err error) {
+	for range 200 {
+		l.net = 16 + rand.IntN(230)
+		if l.guard, err = net.Listen("tcp", l.addr(255, 254, 7000)); err == nil {
+			l.closers = append(l.closers, l.guard)
+			return nil
+		}
+	}
+	return fmt.Errorf("no part of loopback is free: %w", err)
+}
+
+func (l *Lab) addr(c, d, port int) string { return fmt.Sprintf("127.%d.%d.%d:%d", l.net, c, d, port) }
+
+func (l *Lab) prepare() error {
+	at := l.addr(200, 1, 8761)
+	conn, err := net.ListenPacket("udp", at)
+	if err != nil {
+		return err
+	}
+	l.closers = append(l.closers, conn)
+	go func() { _ = l.Announce.Serve(conn) }()
+	for z, zone := range l.opt.Zones {
+		ln, err := net.Listen("tcp", l.storeAddr(z))
+		if err != nil {
+			return err
+		}
+		l.closers = append(l.closers, ln)
+		s := &standin.Store{Now: l.Log.Now, Work: l.opt.Call, Slots: plant.NewPool(plant.Curve{Places: l.opt.Slots, Speed: 1, Knee: 1,
+			Decay: 0.2, Least: 0.3}, l.Log.Now())}
+		s.Began = func(id string, n int) { l.Log.Add(history.Event{Kind: history.Call, Try: id, Server: zone, N: n}) }
+		s.Ended = func(id string, n int) { l.Log.Add(history.Event{Kind: history.CallEnd, Try: id, Server: zone, N: n}) }
+		l.Stores[zone] = s
+		go func() { _ = s.Serve(ln) }()
+	}
+	if l.opt.Keyed {
+		key := make([]byte, 32)
+		r := rand.New(rand.NewPCG(l.opt.Seed, 9))
+		for i := range key {
+			key[i] = byte(r.Uint32())
+		}
+		l.key = hex.EncodeToString(key)
+	}
+	for i := range l.opt.Members {
+		z := i % len(l.opt.Zones)
+		c, d := 10+z, 1+i/len(l.opt.Zones)
+		m := &Member{Name: "n" + strconv.Itoa(i), Zone: l.opt.Zones[z], lab: l, Front: l.addr(c, d, 5050), Console: l.addr(c, d, 5051),
+			Heard: l.addr(c, d, 7946), Fleet: l.addr(c+100, d, 7946), agentAt: l.addr(c+50, d, 4400), dir: filepath.Join(l.opt.Dir, "n"+strconv.Itoa(i))}
+		l.Members = append(l.Members, m)
+		if err := l.Relay.Add(m.Name, m.Fleet, m.Heard); err != nil {
+			return err
+		}
+		if err := m.files(z); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Lab) storeAddr(z int) string { return l.addr(201, 1+z, 8900) }
+
+// files writes what the process is started with.
+func (m *Member) files(z int) error {
+	if err := os.MkdirAll(m.dir, 0o755); err != nil {
+		return err
+	}
+	l, o := m.lab, &m.lab.opt
+	var lanes, calls, skips []string
+	for _, c := range o.Classes {
+		safety, ttl := "safe", 5*time.Second
+		if c.Keyed {
+			safety, ttl = "keyed", Window
+		}
+		lanes = append(lanes, fmt.Sprintf(`{"Name":%q,"AimUs":%d,"DeadlineUs":%d,"Idempotency":%q,"KeyTtlUs":%d,"LateWorth":0,"Value":%g}`,
+			c.Name, c.Aim.Microseconds(), c.Wait.Microseconds(), safety, ttl.Microseconds(), c.Worth))
+		calls = append(calls, strconv.FormatBool(c.Name != "hires-crop"))
+		skips = append(skips, map[bool]string{true: "0.6", false: "0"}[c.Name == "preview"])
+	}
+	perServer := float64(o.Slots*len(o.Zones)) / float64(o.Members)
+	config := fmt.Sprintf(`{"name":%q,"listen":%q,"agent":%q,"announce":%q,"store":%q,"console":%q,"seed":"%x","stop_ms":3200,
+"limits":{"cores":1.0,"memory_mb":64,"sockets":1024},
+"settings":{"FleetSize":%d,"TickUs":5000,"OverShareWorth":0.1,"ValueBy":"request","ClientHabits":{"MarksRetry":false},
+"FamilyInfo":{"Advert":"off","Below":"shared","Blowup":8.0,"CallsByClass":[%s],"CallsOut":%.3f,"CallsOverUs":5000000,
+"ClassSkipWorth":[%s],"ClientsTotal":8,"Cold":false,"Cpus":%d,"FreshForUs":0,"Gauges":["core_use","on_cores","heap_share","links"],
+"Halt":"off","IdleUs":30000000,"KbPerKey":4,"ListFollows":true,"MemoryKb":60000,"PassesDeadline":true,"StaysForUs":200000,"TellsGone":true},
+"Invariants":{"ColdShare":0.25,"ColdUs":%d,"FallMultiple":5.0,"FallUs":3000000,"GraceToAnswerUs":100000,"StopSendingWithinUs":2500000},
+"Lanes":[%s],"Limits":{"MaxRetryAfterUs":1000000,"RetryAfter":true},
+"ResultMix":{"Whole":0.45,"WorstClass":0.2,"WorstTenant":0,"WorstWindow":0.35},"Tenants":[]}}`,
+		m.Name, m.Front, m.agentAt, l.addr(200, 1, 8761), l.storeAddr(z), m.Console, o.Seed+uint64(len(l.Members)), o.Members,
+		strings.Join(calls, ","), perServer, strings.Join(skips, ","), o.Cores, o.ColdFor.Microseconds(), strings.Join(lanes, ","))
+	if err := os.WriteFile(filepath.Join(m.dir, "config.json"), []byte(config), 0o600); err != nil {
+		return err
+	}
+	return m.WriteOperators(l.key)
+}
+
+// WriteOperators writes the operators' file, with the fleet's key if there is one; the process reads it at its next
+// start or SIGHUP.
+func (m *Member) WriteOperators(keys ...string) error {
+	l := m.lab
+	var seeds []string
+	for i := range min(len(l.opt.Zones), l.opt.Members) { // one in each zone
+		z := i % len(l.opt.Zones)
+		seeds = append(seeds, strconv.Quote(l.addr(110+z, 1+i/len(l.opt.Zones), 7946)))
+	}
+	text := fmt.Sprintf("[fleet]\nlisten = %q\nadvertise = %q\nseeds = [%s]\nregion = %q\nzone = %q\nsize = %d\nprobe_every = %q\n",
+		m.Heard, m.Fleet, strings.Join(seeds, ", "), l.opt.Region, m.Zone, l.opt.Members, l.opt.Probe)
+	if len(keys) > 0 && keys[0] != "" {
+		if err := os.WriteFile(filepath.Join(m.dir, "fleet.key"), []byte(strings.Join(keys, "\n")+"\n"), 0o600); err != nil {
+			return err
+		}
+		text += "key_file = \"fleet.key\"\n"
+	}
+	return os.WriteFile(filepath.Join(m.dir, "operators.toml"), []byte(text), 0o600)
+}
+
+// Key is the fleet's key, in hex digits; empty without one.
+func (l *Lab) Key() string { return l.key }
+
+// Place says where members are, for scripts.
+func (l *Lab) Places() (places []faults.Place) {
+	for _, m := range l.Members {
+		places = append(places, faults.Place{Name: m.Name, Zone: m.Zone, Region: l.opt.Region})
+	}
+	return places
+}
+
+// Find returns the member of that name, or nil.
+func (l *Lab) Find(name string) *Member {
+	for _, m := range l.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// Start starts a process of the member, and its agent with it.
+func (m *Member) Start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd != nil {
+		return fmt.Errorf("%s runs already", m.Name)
+	}
+	ln, err := net.Listen("tcp", m.agentAt)
+	if err != nil {
+		return err
+	}
+	l, o := m.lab, &m.lab.opt
+	speed := 1.0
+	if i, _ := strconv.Atoi(m.Name[1:]); i%2 == 1 {
+		speed = 0.7 // the other kind of machine
+	}
+	state := "steady"
+	if m.starts > 0 {
+		state = "booting"
+	}
+	curve := plant.Curve{Places: o.Cores, Speed: speed, Knee: 2, Decay: 0.1, Least: 0.4, ColdShare: 0.25}
+	if state == "booting" {
+		curve.ColdFor = o.ColdFor
+	}
+	m.agent = &standin.Agent{State: state, Now: l.Log.Now, Cores: plant.NewPool(curve, l.Log.Now()), Plan: func(x standin.Launch) standin.Plan {
+		work, _ := strconv.ParseInt(string(x.Body), 10, 64)
+		p := standin.Plan{Work: time.Duration(work)}
+		if x.Class != "hires-crop" {
+			p.Call = []byte("SELECT " + x.Req)
+		}
+		return p
+	}}
+	m.agent.Began = func(x standin.Launch) {
+		l.Log.Add(history.Event{Kind: history.Run, Try: x.Req, Class: x.Class, Server: m.Name})
+	}
+	m.agent.Ended = func(x standin.Launch, result string) {
+		l.Log.Add(history.Event{Kind: history.RunEnd, Try: x.Req, Class: x.Class, Server: m.Name, Word: result})
+	}
+	m.agentLn = ln
+	go func() { _ = m.agent.Serve(ln) }()
+	out, err := os.OpenFile(filepath.Join(m.dir, "log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		ln.Close()
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(o.Binary, "serve", "--config", filepath.Join(m.dir, "config.json"), "--operators",
+		filepath.Join(m.dir, "operators.toml"), "--log-level", o.Level)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), "GW_NAME=", "GW_LISTEN=", "GW_CONSOLE=", "GW_CONFIG=", "GW_INHERITED_FD=")
+	if err := cmd.Start(); err != nil {
+		ln.Close()
+		return err
+	}
+	m.starts++
+	m.cmd, m.ended = cmd, make(chan struct{})
+	l.Log.Add(history.Event{Kind: history.Process, Server: m.Name, Word: "started", N: cmd.Process.Pid})
+	go m.wait(cmd, ln, m.ended)
+	return nil
+}
+
+func (m *Member) wait(cmd *exec.Cmd, ln net.Listener, ended chan struct{}) {
+	err := cmd.Wait()
+	word := "ended"
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.ExitCode() > 0 {
+		word = "failed" // by itself: the log of the process says why
+	}
+	m.mu.Lock()
+	m.cmd = nil
+	m.mu.Unlock()
+	ln.Close()
+	m.agent.Break()
+	m.lab.Log.Add(history.Event{Kind: history.Process, Server: m.Name, Word: word})
+	close(ended)
+}
+
+// Signal sends a signal to the member's process, if there is one.
+func (m *Member) Signal(sig syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil {
+		return
+	}
+	word := map[syscall.Signal]string{syscall.SIGKILL: "killed", syscall.SIGSTOP: "stopped", syscall.SIGCONT: "continued",
+		syscall.SIGTERM: "told to end", syscall.SIGHUP: "reloads"}[sig]
+	m.lab.Log.Add(history.Event{Kind: history.Process, Server: m.Name, Word: word})
+	_ = m.cmd.Process.Signal(sig)
+}
+
+// Kill kills the process, and waits for its end.
+func (m *Member) Kill() {
+	m.Signal(syscall.SIGKILL)
+	m.Ended()
+}
+
+// Ended waits for the end of the process, if there is one.
+func (m *Member) Ended() {
+	m.mu.Lock()
+	ended := m.ended
+	m.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// Runs reports whether a process runs.
+func (m *Member) Runs() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cmd != nil
+}
+
+// Pid is the number of the process; 0 = none.
+func (m *Member) Pid() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil {
+		return 0
+	}
+	return m.cmd.Process.Pid
+}
+
+var client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// View asks the process what it knows of its fleet.
+func (m *Member) View() (r fleet.Report, err error) {
+	res, err := client.Get("http://" + m.Console + "/fleet")
+	if err != nil {
+		return r, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return r, fmt.Errorf("%s: %s", m.Name, res.Status)
+	}
+	return r, json.NewDecoder(res.Body).Decode(&r)
+}
+
+// Watch asks all running members for their views, and notes what they say of others, until ctx ends.
+func (l *Lab) Watch(ctx context.Context, every time.Duration) {
+	said := map[[2]string]string{}
+	for ctx.Err() == nil {
+		for _, m := range l.Members {
+			if !m.Runs() {
+				continue
+			}
+			r, err := m.View()
+			if err != nil {
+				continue // stopped, or at its end
+			}
+			for _, x := range r.Members {
+				if at := [2]string{m.Name, x.Name}; said[at] != x.Condition {
+					said[at] = x.Condition
+					l.Log.Add(history.Event{Kind: history.View, Server: m.Name, Member: x.Name, Word: x.Condition})
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(every):
+		}
+	}
+}
+
+// Servers is the list that front ends have, which lags by so much.
+func (l *Lab) Servers(lag time.Duration) callers.List {
+	return func() []callers.Server {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		now := l.Log.Now()
+		if n := len(l.lists); n == 0 || now-l.lists[n-1].at > 100*time.Millisecond {
+			l.lists = append(l.lists, listed{now, l.Announce.List()})
+		}
+		for len(l.lists) > 1 && l.lists[1].at <= now-lag {
+			l.lists = l.lists[1:]
+		}
+		var all []callers.Server
+		for _, name := range l.lists[0].names {
+			if m := l.Find(name); m != nil {
+				all = append(all, callers.Server{Name: name, Addr: m.Front})
+			}
+		}
+		return all
+	}
+}
+
+// Close ends all processes and stand-ins.
+func (l *Lab) Close() {
+	for _, m := range l.Members {
+		m.Signal(syscall.SIGKILL) // also of one that is stopped
+	}
+	for _, m := range l.Members {
+		m.Ended()
+	}
+	l.Relay.Close()
+	for _, c := range l.closers {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/lab/fleetlab/lab_test.go
@@ -0,0 +1,238 @@
+package fleetlab
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"falldeal/internal/fleet"
+	"falldeal/lab/callers"
+	"falldeal/lab/faults"
+	"falldeal/lab/history"
+
+	"github.com/stretchr/testify/require"
+)
+
+// patience bounds each wait for a condition; a verdict never depends on how long one took.
+const patience = 90 * time.Second
+
+// build builds the shipped programs.
+func build(t testing.TB) (binary string) {
+	dir := t.TempDir()
+	cmd := exec.Command("go", "build", "-o", dir, "../../cmd/falldeal", "../../cmd/falldeal-fleet")
+	out, err := cmd.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return filepath.Join(dir, "falldeal")
+}
+
+// start starts a fleet; it ends with the test, which then shows what the processes logged if it failed.
+func start(t *testing.T, change func(*Options)) *Lab {
+	o := Defaults()
+	o.Binary, o.Dir, o.Keyed = build(t), t.TempDir(), true
+	change(&o)
+	l, err := New(o)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		l.Close()
+		for _, m := range l.Members {
+			text, _ := os.ReadFile(filepath.Join(m.dir, "log"))
+			if lines := strings.Split(string(text), "\n"); t.Failed() {
+				t.Logf("%s:\n%s", m.Name, strings.Join(lines[max(len(lines)-40, 0):], "\n"))
+			}
+		}
+	})
+	require.NoError(t, l.Begin())
+	return l
+}
+
+// play adds faults that begin now and last until the function it returns is called.
+func (l *Lab) play(t *testing.T, f faults.Fault) (end func()) {
+	f.At = l.Log.Now()
+	require.NoError(t, l.Add(f))
+	require.NoError(t, l.turn())
+	return func() {
+		l.mu.Lock()
+		for i := range l.script.Faults {
+			if g := &l.script.Faults[i]; g.At == f.At && g.Kind == f.Kind {
+				g.For = max(l.Log.Now()-g.At, 1)
+			}
+		}
+		l.mu.Unlock()
+		require.NoError(t, l.turn())
+	}
+}
+
+// see waits until all of these members say of others what is wanted: NAME=CONDITION, or position=POSITION.
+func (l *Lab) see(t *testing.T, who []string, want ...string) {
+	t.Helper()
+	var why string
+	seen := func(name string) bool {
+		r, err := l.Find(name).View()
+		if err != nil {
+			why = fmt.Sprintf("%s: %v", name, err)
+			return false
+		}
+		is := map[string]string{"position": r.Position}
+		for _, m := range r.Members {
+			is[m.Name] = m.Condition
+		}
+		for _, z := range r.Zones {
+			is["zone "+z.Zone] = map[bool]string{true: "dark", false: "lit"}[z.Dark]
+		}
+		for _, w := range want {
+			about, condition, _ := strings.Cut(w, "=")
+			if is[about] != condition {
+				why = fmt.Sprintf("%s says that %s is %q, want %q", name, about, is[about], condition)
+				return false
+			}
+		}
+		return true
+	}
+	for end := time.Now().Add(patience); slices.ContainsFunc(who, func(n string) bool { return !seen(n) }); {
+		if time.Now().After(end) {
+			require.FailNow(t, why)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func serving(names ...string) (want []string) {
+	for _, n := range names {
+		want = append(want, n+"=serving")
+	}
+	return want
+}
+
+// Six processes in three zones, with load on them: a zone that is cut off, a process that is killed behind the cut,
+// one that is stopped, and one that is started again must each be told for what they are, by all who can know; and
+// when it is over, all of them agree. What callers and stand-ins saw must keep the rules all along.
+func TestZonesCutAndProcessesLost(t *testing.T) {
+	l := start(t, func(*Options) {})
+	all := []string{"n0", "n1", "n2", "n3", "n4", "n5"}
+	l.see(t, all, append(serving(all...), "position=whole")...)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	load.Add(2)
+	go func() {
+		defer load.Done()
+		callers.Run(ctx, callers.Plan{FrontEnds: 3, Rate: 60, Classes: l.opt.Classes, Keys: 50, Seed: 1,
+			Habits: []callers.Habit{{Tries: 3}, {ByKey: true, Tries: 3, Heed: true}}}, l.Servers(time.Second), l.Log)
+	}()
+	go func() {
+		defer load.Done()
+		l.Watch(ctx, 200*time.Millisecond)
+	}()
+	defer func() { cancel(); load.Wait() }()
+
+	near, far := []string{"n0", "n1", "n3", "n4"}, []string{"n2", "n5"}
+	heal := l.play(t, faults.Fault{Kind: faults.Cut, Who: "zone:mechelen", To: "*"})
+	l.see(t, near, append(serving(near...), "n2=cut off", "n5=cut off", "zone mechelen=dark", "position=torn")...)
+	l.see(t, far, append(serving(far...), "n0=cut off", "n4=cut off", "position=cut off")...)
+
+	l.Find("n4").Kill()
+	l.see(t, []string{"n0", "n1", "n3"}, "n4=dead", "n2=cut off", "n0=serving")
+	l.see(t, far, "n4=cut off") // it can't know
+
+	heal()
+	live := []string{"n0", "n1", "n2", "n3", "n5"}
+	l.see(t, live, append(serving(live...), "n4=dead", "zone mechelen=lit", "position=torn")...)
+
+	end := l.play(t, faults.Fault{Kind: faults.Stop, Who: "n1", For: time.Hour})
+	l.see(t, []string{"n0", "n2", "n3", "n5"}, "n1=wedged", "n4=dead")
+	end()
+	l.see(t, live, append(serving(live...), "n4=dead")...)
+
+	require.NoError(t, l.Find("n4").Start())
+	require.Eventually(t, func() bool { r, err := l.Find("n0").View(); return err == nil && r.Position == "whole" }, patience, time.Second/10)
+	l.see(t, all, "position=whole")
+
+	cancel()
+	load.Wait()
+	events := l.Log.Events()
+	require.Empty(t, history.Check(events, history.Rules{Slack: 200 * time.Millisecond, Window: Window}))
+	require.NotZero(t, history.Sums(events)[""].Served)
+}
+
+// Whoever has not the fleet's key, and whatever is no message, must be counted and dropped, and change nothing; a key
+// that is put in force on one half first must not part the fleet where both keys are known to all.
+func TestStrangersAndKeys(t *testing.T) {
+	l := start(t, func(o *Options) { o.Members, o.Zones = 3, []string{"z0"} })
+	all := []string{"n0", "n1", "n2"}
+	l.see(t, all, append(serving(all...), "position=whole")...)
+	nc, err := net.Dial("udp", l.Members[0].Heard)
+	require.NoError(t, err)
+	defer nc.Close()
+	tcp, err := net.Dial("tcp", l.Members[0].Heard)
+	require.NoError(t, err)
+	defer tcp.Close()
+	_, err = tcp.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		for _, b := range [][]byte{{0}, []byte("noise"), make([]byte, 60000), {1, 2, 3}} {
+			_, _ = nc.Write(b)
+		}
+		r, err := l.Members[0].View()
+		return err == nil && r.Counters["strangers"]+r.Counters["spoilt"] >= 8
+	}, patience, 100*time.Millisecond)
+	l.see(t, all, append(serving(all...), "position=whole")...)
+
+	second := strings.Repeat("5a", 32)
+	for _, step := range [][]string{{l.Key(), second}, {second, l.Key()}, {second}} {
+		for _, m := range l.Members {
+			require.NoError(t, m.WriteOperators(step...))
+			m.Signal(syscall.SIGHUP)
+		}
+		l.see(t, all, append(serving(all...), "position=whole")...)
+	}
+	require.NoError(t, l.Members[2].WriteOperators(l.Key())) // the old one alone
+	l.Members[2].Kill()
+	require.NoError(t, l.Members[2].Start())
+	require.Eventually(t, func() bool { r, err := l.Members[2].View(); return err == nil && r.Position == "alone" }, patience, time.Second/10)
+	l.see(t, all[:2], "n0=serving", "n1=serving")
+	require.NoError(t, l.Members[2].WriteOperators(second))
+	l.Members[2].Signal(syscall.SIGHUP)
+	l.see(t, all, append(serving(all...), "position=whole")...)
+}
+
+// An instance that is told to leave says so to all, and a key of the operators' file that makes no sense ends a start.
+func TestGoodByesAndBadFiles(t *testing.T) {
+	l := start(t, func(o *Options) { o.Members, o.Zones = 3, []string{"z0"} })
+	all := []string{"n0", "n1", "n2"}
+	l.see(t, all, "position=whole")
+	res, err := client.Post("http://"+l.Members[1].Console+"/drain", "", nil)
+	require.NoError(t, err)
+	res.Body.Close()
+	l.see(t, all, "n1=draining")
+	l.Members[1].Signal(syscall.SIGTERM)
+	l.Members[1].Ended()
+	l.see(t, []string{"n0", "n2"}, "n1=left", "position=whole")
+
+	out, err := exec.Command(l.opt.Binary, "fleet", "status", "--check", "--console", l.Members[0].Console).CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	require.Contains(t, string(out), "n0 sees its fleet: whole")
+	out, err = exec.Command(l.opt.Binary, "fleet", "members", "--console", l.Members[0].Console).CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	require.Regexp(t, `n1 +z0 +left`, string(out))
+
+	path := filepath.Join(l.Members[1].dir, "operators.toml")
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for key, bad := range map[string]string{"fleet.probe_every": strings.Replace(string(text), `"500ms"`, `"5ms"`, 1),
+		"fleet.speed": string(text) + "speed = 5\n", "fleet.listen": strings.Replace(string(text), l.Members[1].Heard, l.Members[0].Heard, 1)} {
+		require.NoError(t, os.WriteFile(path, []byte(bad), 0o600))
+		out, err := exec.Command(l.opt.Binary, "serve", "--config", filepath.Join(l.Members[1].dir, "config.json"), "--operators", path).CombinedOutput()
+		require.Error(t, err)
+		require.Contains(t, string(out), key)
+	}
+	require.Greater(t, fleet.Fresh(3), fleet.Period(3))
+}
--- /dev/null
+++ b/lab/history/report.go
@@ -0,0 +1,141 @@
+package history
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Sum is what became of the requests of a class.
+type Sum struct {
+	Requests, Served, Late, Refused, Failed, Tries int
+	Worth, Got                                     float64 // asked for, and served in time
+	Took                                           *hdrhistogram.Histogram
+}
+
+// Sums adds up requests by class; "" holds all of them.
+func Sums(events []Event) map[string]*Sum {
+	sums := map[string]*Sum{}
+	for i := range events {
+		e := &events[i]
+		if e.Kind != Request {
+			continue
+		}
+		for _, class := range []string{"", e.Class} {
+			s := sums[class]
+			if s == nil {
+				s = &Sum{Took: hdrhistogram.New(1, int64(time.Minute/time.Millisecond), 3)}
+				sums[class] = s
+			}
+			s.Requests++
+			s.Tries += e.N
+			s.Worth += e.Worth
+			switch e.Word {
+			case "served":
+				s.Served++
+				s.Got += e.Worth
+				_ = s.Took.RecordValue(max(e.Took.Milliseconds(), 1)) // longer than a minute: the caller has gone
+			case "late":
+				s.Late++
+			case "refused":
+				s.Refused++
+			default:
+				s.Failed++
+			}
+		}
+	}
+	return sums
+}
+
+// Print prints the sums as a table.
+func Print(w io.Writer, events []Event) error {
+	sums := Sums(events)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\trequests\tserved\tlate\trefused\tfailed\ttries each\tworth served\tmedian ms\t99% ms\t")
+	for _, class := range slices.Sorted(maps.Keys(sums)) {
+		s := sums[class]
+		name := class
+		if name == "" {
+			name = "all"
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.3f\t%d\t%d\t\n", name, s.Requests, s.Served, s.Late, s.Refused, s.Failed,
+			float64(s.Tries)/float64(s.Requests), s.Got/max(s.Worth, 1e-9), s.Took.ValueAtQuantile(50), s.Took.ValueAtQuantile(99))
+	}
+	return t.Flush()
+}
+
+// Plot draws requests by their end over time, and faults as bars under them, into a file (PNG, SVG or PDF).
+func Plot(path, title string, events []Event) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "requests a second"
+	count := map[string]map[int]int{}
+	last := 0
+	type bar struct{ from, to float64 }
+	faults := map[string]*bar{}
+	for i := range events {
+		e := &events[i]
+		at := int(e.At / time.Second)
+		last = max(last, at)
+		switch e.Kind {
+		case Request:
+			if count[e.Word] == nil {
+				count[e.Word] = map[int]int{}
+			}
+			count[e.Word][at]++
+		case Fault:
+			if b := faults[e.Word]; b == nil {
+				faults[e.Word] = &bar{from: e.At.Seconds(), to: -1}
+			} else if e.N == 0 {
+				b.to = e.At.Seconds()
+			}
+		}
+	}
+	for i, word := range slices.Sorted(maps.Keys(count)) {
+		xy := make(plotter.XYs, last+1)
+		for s := range xy {
+			xy[s].X, xy[s].Y = float64(s), float64(count[word][s])
+		}
+		line, err := plotter.NewLine(xy)
+		if err != nil {
+			return err
+		}
+		line.Color = colour(i)
+		line.Width = vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(word, line)
+	}
+	for i, word := range slices.Sorted(maps.Keys(faults)) {
+		b := faults[word]
+		if b.to < 0 {
+			b.to = float64(last)
+		}
+		y := -float64(i+1) * max(p.Y.Max, 1) / 25
+		line, err := plotter.NewLine(plotter.XYs{{X: b.from, Y: y}, {X: b.to, Y: y}})
+		if err != nil {
+			return err
+		}
+		line.Color = colour(i + 4)
+		line.Width = vg.Points(4)
+		p.Add(line)
+		p.Legend.Add(word, line)
+	}
+	p.Legend.Top = true
+	return p.Save(24*vg.Centimeter, 11*vg.Centimeter, path)
+}
+
+// colour is one of seven that are told apart also by those who see few (Okabe and Ito).
+func colour(i int) color.Color {
+	c := [][3]uint8{{0, 114, 178}, {213, 94, 0}, {0, 158, 115}, {204, 121, 167}, {230, 159, 0}, {86, 180, 233}, {80, 80, 80}}[i%7]
+	return color.RGBA{c[0], c[1], c[2], 255}
+}
--- a/lab/standin/agent.go
+++ b/lab/standin/agent.go
@@ -1,6 +1,6 @@
 // Package standin plays the parties that an image server talks to, on loopback, as the protocol page describes
 // them: the render farm agent, the store and the announce service. They are for the laboratory and for tests;
-// nothing that serves imports them. They leave out the model of the cores: a run takes the time it is told to.
+// nothing that serves imports them. Without a pool of package plant a run takes the time it is told to.
 package standin
 
 import (
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"falldeal/lab/plant"
 )
 
 // noticesKept is how many notices an agent remembers for links that come back; protocol.
@@ -36,12 +38,18 @@
 	Plan  func(l Launch) Plan // nil: every run succeeds at once without a call
 	Ready <-chan struct{}     // the greeting waits for it; nil: it does not
 
+	Cores *plant.Pool          // runs share it, and samples tell of it; nil: they do not
+	Now   func() time.Duration // its clock
+	Began func(l Launch)       // called as a run begins, and Ended as it ends; they must not call back
+	Ended func(l Launch, result string)
+
 	mu      sync.Mutex
 	link    *json.Encoder // of the newest link; nil while there is none
 	conn    net.Conn
 	offset  int
 	notices []notice // the last ones, in order
 	runs    map[string]*run
+	timer   *time.Timer // at which runs in the pool end
 }
 
 type run struct {
@@ -137,6 +145,10 @@
 	}
 	switch r := a.runs[c.Req]; c.Cmd {
 	case "sample":
+		if a.Cores != nil {
+			a.advance()
+			a.Load = [4]float64{a.Cores.Busy(), float64(a.Cores.InHand()), 0.1, 10}
+		}
 		a.say(notice{Cmd: "sampled", Token: c.Token, Load: a.Load[:]})
 	case "exercise":
 		a.say(notice{Cmd: "exercised", Token: c.Token, Result: "success"})
@@ -156,6 +168,9 @@
 
 func (a *Agent) begin(r *run) {
 	a.runs[r.launch.Req] = r
+	if a.Began != nil {
+		a.Began(r.launch)
+	}
 	if a.Plan != nil {
 		r.plan = a.Plan(r.launch)
 	}
@@ -172,6 +187,12 @@
 		a.end(r)
 		return
 	}
+	if a.Cores != nil {
+		a.advance()
+		a.Cores.Add(r.launch.Req, r.plan.Work)
+		a.arm()
+		return
+	}
 	time.AfterFunc(r.plan.Work, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -179,6 +200,37 @@
 	})
 }
 
+// advance brings the pool to the present, and ends the runs that are over.
+func (a *Agent) advance() {
+	for _, id := range a.Cores.Advance(a.Now()) {
+		a.end(a.runs[id])
+	}
+}
+
+// arm has the pool looked at when its next run ends.
+func (a *Agent) arm() {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	if at, ok := a.Cores.Next(); ok {
+		a.timer = time.AfterFunc(at-a.Now(), func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.advance()
+			a.arm()
+		})
+	}
+}
+
+// Slow has the cores be so many times slower than they are.
+func (a *Agent) Slow(times float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance()
+	a.Cores.Slow(a.Now(), times)
+	a.arm()
+}
+
 func (a *Agent) end(r *run) {
 	if r.over {
 		return
@@ -187,6 +239,9 @@
 	if n.Result == "" {
 		n.Result, n.Payload = "success", r.launch.Body
 	}
+	if a.Ended != nil {
+		a.Ended(r.launch, n.Result)
+	}
 	r.over, r.launch.Body = true, nil
 	a.number(n)
 }
@@ -203,4 +258,8 @@
 }
 
 // say writes a notice; what a broken link loses comes again on the next.
-func (a *Agent) say(n notice) { _ = a.link.Encode(n) }
+func (a *Agent) say(n notice) {
+	if a.link != nil {
+		_ = a.link.Encode(n)
+	}
+}
--- a/lab/standin/announce.go
+++ b/lab/standin/announce.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"time"
 )
 
 // Announce is an announce service: it notes the last word of each image server.
 type Announce struct {
 	mu    sync.Mutex
 	words map[string]bool
+	at    map[string]time.Time // of the last report
 	heard int
 }
 
@@ -28,9 +32,9 @@
 		}
 		a.mu.Lock()
 		if a.words == nil {
-			a.words = map[string]bool{}
+			a.words, a.at = map[string]bool{}, map[string]time.Time{}
 		}
-		a.words[name] = accepting
+		a.words[name], a.at[name] = accepting, time.Now()
 		a.heard++
 		a.mu.Unlock()
 	}
@@ -42,3 +46,18 @@
 	defer a.mu.Unlock()
 	return a.words[name], a.heard
 }
+
+// lapse is how long an image server stays listed after its last report; protocol.
+const lapse = 3 * time.Second
+
+// List returns the names of the image servers that are listed as taking work, in order.
+func (a *Announce) List() (names []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(a.words)) {
+		if a.words[name] && time.Since(a.at[name]) < lapse {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"falldeal/lab/plant"
 )
 
 // Store is a store. Its fields are set before Serve.
@@ -15,7 +17,101 @@
 	Delay time.Duration                       // from a call to its reply
 	Reply func(id string, body []byte) string // the word of the reply; nil: OK with the body
 
+	Slots *plant.Pool          // calls share it; nil: each takes Delay
+	Work  time.Duration        // of a call in a slot
+	Fall  plant.Fall           // and it falls when it is crowded
+	Now   func() time.Duration // its clock
+	Began func(id string, inHand int)
+	Ended func(id string, inHand int) // both are called with the store held, and must not call back
+
 	calls atomic.Int64
+
+	mu    sync.Mutex // of the slots
+	hand  map[string]func(word string)
+	timer *time.Timer
+	falls int
+}
+
+// Falls is how often the store fell.
+func (s *Store) Falls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.falls
+}
+
+// Most is the most calls that were ever in hand.
+func (s *Store) Most() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Slots.Most()
+}
+
+// Slow has the slots be so many times slower than they are.
+func (s *Store) Slow(times float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance()
+	s.Slots.Slow(s.Now(), times)
+	s.arm()
+}
+
+// begin puts a call into the slots. A call that nobody waits for any more stays in them until it is done.
+func (s *Store) begin(id string, answer func(word string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance()
+	if s.hand == nil {
+		s.hand = map[string]func(string){}
+	}
+	if s.Fall.IsDown(s.Now()) {
+		go answer("ERR")
+		return
+	}
+	for s.hand[id] != nil {
+		id += "+" // a second call of a request: both are worked at
+	}
+	s.hand[id] = answer
+	s.Slots.Add(id, s.Work)
+	if s.Began != nil {
+		s.Began(id, s.Slots.InHand())
+	}
+	if s.Fall.See(s.Now(), s.Slots.InHand()) {
+		s.falls++
+		for id := range s.hand {
+			s.Slots.Drop(id)
+			s.end(id, "ERR")
+		}
+	}
+	s.arm()
+}
+
+func (s *Store) end(id, word string) {
+	answer := s.hand[id]
+	delete(s.hand, id)
+	if s.Ended != nil {
+		s.Ended(id, s.Slots.InHand())
+	}
+	go answer(word)
+}
+
+func (s *Store) advance() {
+	for _, id := range s.Slots.Advance(s.Now()) {
+		s.end(id, "OK")
+	}
+}
+
+func (s *Store) arm() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	if at, ok := s.Slots.Next(); ok {
+		s.timer = time.AfterFunc(at-s.Now(), func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.advance()
+			s.arm()
+		})
+	}
 }
 
 // Calls is how many calls were read.
@@ -43,20 +139,25 @@
 			return
 		}
 		s.calls.Add(1)
-		answer := func() {
+		say := func(word string) {
 			mu.Lock()
 			defer mu.Unlock()
-			word := "OK"
-			if s.Reply != nil {
-				word = s.Reply(id, body[:length])
-			}
 			if word == "OK" {
 				fmt.Fprintf(nc, "%s OK %d\r\n%s", id, length, body)
 			} else {
 				fmt.Fprintf(nc, "%s %s\r\n", id, word)
 			}
 		}
-		if s.Delay > 0 {
+		answer := func() {
+			word := "OK"
+			if s.Reply != nil {
+				word = s.Reply(id, body[:length])
+			}
+			say(word)
+		}
+		if s.Slots != nil {
+			s.begin(id, say)
+		} else if s.Delay > 0 {
 			time.AfterFunc(s.Delay, answer)
 		} else {
 			answer()
