--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -108,7 +108,7 @@
 	err := w.errs[addr]
 	var timeout net.Error
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED), 
+	case errors.Is(err, syscall.ECONNREFUSED),
 		!w.seen[addr] && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)):
 		return fleet.Refused
 	case errors.Is(err, errConnected):
--- a/lab/fleetlab/lab.go
+++ b/lab/fleetlab/lab.go
@@ -273,15 +273,12 @@
 		return err
 	}
 	l, o := m.lab, &m.lab.opt
-	speed := 1.0
-	if i, _ := strconv.Atoi(m.Name[1:]); i%2 == 1 {
-		speed = 0.7 // the other kind of machine
-	}
+	number, _ := strconv.Atoi(m.Name[1:])
 	state := "steady"
 	if m.starts > 0 {
 		state = "booting"
 	}
-	curve := plant.Curve{Places: o.Cores, Speed: speed, Knee: 2, Decay: 0.1, Least: 0.4, ColdShare: 0.25}
+	curve := plant.Curve{Places: o.Cores, Speed: speedOf(number), Knee: 2, Decay: 0.1, Least: 0.4, ColdShare: 0.25}
 	if state == "booting" {
 		curve.ColdFor = o.ColdFor
 	}
@@ -460,3 +457,19 @@
 		c.Close()
 	}
 }
+
+// Capacity is how many requests a second all agents together can do, calls not counted.
+func (l *Lab) Capacity() float64 {
+	var work float64
+	for _, c := range l.opt.Classes {
+		work += c.Share * c.Work.Seconds()
+	}
+	var cores float64
+	for i := range l.Members {
+		cores += float64(l.opt.Cores) * speedOf(i)
+	}
+	return cores / work
+}
+
+// speedOf tells the two kinds of machines apart.
+func speedOf(i int) float64 { return []float64{1, 0.7}[i%2] }
