Two parts of a fleet that began apart find together; loads are told less often than news

Change: a seed that is not among those who are reached is called, with the same growing waits. A member that speaks and that the failure detection here does not know of is called, too, instead of waiting 45 s for the next full exchange. Words that change something go before those that only tell loads, which are passed on 2 in place of 3 times the logarithm of the size.

--- a/cmd/falldeal-lab/detect.go
+++ b/cmd/falldeal-lab/detect.go
@@ -5,7 +5,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
+	"os/signal"
 	"slices"
+	"strconv"
+	"strings"
+	"syscall"
 	"time"
 
 	"falldeal/lab/faults"
@@ -20,6 +25,9 @@
 		return err
 	}
 	defer l.Close()
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	defer context.AfterFunc(stopped, func() { l.Close(); os.Exit(1) })()
 	if a.fault.Share > 0 {
 		if err := l.Add(faults.Fault{Kind: faults.Loss, Who: "*", To: "*", Share: a.fault.Share}); err != nil {
 			return err
@@ -37,12 +45,16 @@
 	}
 	fmt.Fprintf(out, "%d members, %.0f%% loss: all see all after %.1fs\n", a.o.Members, 100*a.fault.Share, joined.Seconds())
 	begin := l.Log.Now()
+	before := account(l)
 	removed := 0
 	for l.Log.Now()-begin < a.for_ {
 		removed = max(removed, count(l, "cut off", "dead", "wedged"))
 		time.Sleep(250 * time.Millisecond)
 	}
 	fmt.Fprintf(out, "false removals in %v: %d of %d views at most at once\n", a.for_, removed, len(l.Members)*(len(l.Members)-1))
+	now, n, spent := account(l), float64(len(l.Members)), (l.Log.Now() - begin).Seconds()
+	fmt.Fprintf(out, "at rest each: %.1f ms of processor time and %.1f packets, %.0f bytes sent a second; %.1f MB resident\n", (now.cpu-before.cpu)/n/spent,
+		(now.packets-before.packets)/n/spent, (now.bytes-before.bytes)/n/spent, now.memory/n)
 	rnd := rand.New(rand.NewPCG(a.o.Seed, 5))
 	var first, all []time.Duration
 	for range a.detect {
@@ -72,6 +84,30 @@
 	return nil
 }
 
+// used is what all processes have used so far: ms of processor time, packets and bytes; and MB that they hold.
+type used struct{ cpu, packets, bytes, memory float64 }
+
+// account reads the system's accounts, which count in ticks of 10 ms, and the members' own counters.
+func account(l *fleetlab.Lab) (u used) {
+	for _, m := range l.Members {
+		if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.Pid())); err == nil {
+			if f := strings.Fields(string(text)); len(f) > 23 {
+				for _, i := range []int{13, 14} {
+					ticks, _ := strconv.ParseFloat(f[i], 64)
+					u.cpu += 10 * ticks
+				}
+				pages, _ := strconv.ParseFloat(f[23], 64)
+				u.memory += pages * float64(os.Getpagesize()) / (1 << 20)
+			}
+		}
+		if r, err := m.View(); err == nil {
+			u.packets += float64(r.Counters["packets_out"])
+			u.bytes += float64(r.Counters["bytes_out"])
+		}
+	}
+	return u
+}
+
 func spread(d []time.Duration) string {
 	slices.Sort(d)
 	at := func(q float64) float64 { return d[int(q*float64(len(d)-1))].Seconds() }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -288,6 +288,7 @@
 		}
 	}
 	require.Len(t, called, 4)
+	require.NotZero(t, called["seed"])
 	require.Zero(t, called["a3"])
 	for a, n := range called {
 		require.InDelta(t, 100, n, 60, a)
--- a/internal/fleet/rejoin.go
+++ b/internal/fleet/rejoin.go
@@ -12,11 +12,13 @@
 const (
 	rejoinFirst = time.Second
 	rejoinMost  = 30 * time.Second
+	rejoinHeard = 3 * time.Second
 	rejoinAt    = 2
 )
 
-// Rejoin decides whom to call: seeds while nobody is reached, and members that are lost, so that a fleet which was
-// cut in two finds together whichever side looks. It belongs to one goroutine.
+// Rejoin decides whom to call: seeds that are not among those who are reached, and members that are lost, so that a
+// fleet which was cut in two finds together whichever side looks, also where two parts began apart and neither ever
+// heard of the other. It belongs to one goroutine.
 type Rejoin struct {
 	seeds []string
 	rand  *rand.Rand
@@ -41,36 +43,47 @@
 // member that was lost: they wait longer by the logarithm of its size, so that all of them together do not call more
 // often in a larger fleet than it can bear.
 func (r *Rejoin) Next(now time.Duration, s *Snapshot) []string {
-	wanted := map[string]bool{}
+	wanted := map[string]bool{} // and whether others need the call as well
+	near := map[string]bool{}   // addresses of who is reached, and this one's
 	reached := 0
+	fresh := Fresh(len(s.Members))
 	for i := range s.Members {
 		switch m := &s.Members[i]; {
 		case m.Self:
+			near[m.Addr] = true
 		case m.Standing == Alive || m.Standing == Suspect:
+			near[m.Addr] = true
 			reached++
+		case m.Standing == HeardOf && m.Seq > 0 && m.Age(now) <= fresh && m.Addr != "":
+			wanted[m.Addr] = false // it speaks, and the failure detection here does not know of it
 		case m.Standing == Silent || m.Standing == Dead || m.Standing == Wedged && m.Stalled == 0:
 			if m.Addr != "" {
 				wanted[m.Addr] = true
 			}
 		}
 	}
-	if reached == 0 {
-		for _, a := range r.seeds {
+	for _, a := range r.seeds {
+		if !near[a] {
 			wanted[a] = true
 		}
 	}
 	for a := range r.calls {
-		if !wanted[a] {
+		if _, ok := wanted[a]; !ok {
 			delete(r.calls, a)
 		}
 	}
 	var due []string
 	most := rejoinMost * time.Duration(1+log2(len(s.Members))/2)
-	for a := range wanted {
+	for a, shared := range wanted {
 		c := r.calls[a]
 		if c == nil {
-			// The first call waits, too, in a fleet of many: its loss is noticed by all at one instant.
-			c = &calls{wait: rejoinFirst, next: now + r.spread(time.Duration(reached)*rejoinFirst/4)}
+			// The first call waits, too, in a fleet of many: its loss is noticed by all at one instant. What is only
+			// missing here mostly comes by itself before long.
+			first := rejoinHeard + r.spread(rejoinHeard)
+			if shared {
+				first = r.spread(time.Duration(reached) * rejoinFirst / 4)
+			}
+			c = &calls{wait: rejoinFirst, next: now + first}
 			r.calls[a] = c
 		}
 		if now >= c.next {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -129,6 +129,14 @@
 	return false
 }
 
+// Known returns the word in force of a name, or nil.
+func (v *View) Known(name string) *Record {
+	if e := v.entries[name]; e != nil {
+		return e.rec
+	}
+	return nil
+}
+
 // Overtaken returns the word that r falls short of, if that is another process's, and when it was made. Whoever told r
 // has to hear it: a process that has just started under a name, with a clock that was set back, raises itself then.
 func (v *View) Overtaken(r *Record) (by *Record, made time.Duration) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -28,11 +28,13 @@
 
 // Bounds and times that an operator does not set.
 const (
-	tick        = 250 * time.Millisecond // between two looks of the keeper; a snapshot is out of date by that at most
+	tick        = 250 * time.Millisecond // between two looks of the keeper; a snapshot lacks no change for longer
+	loadTicks   = 256                    // what only tells of load is published one tick later for so many members
 	wordsWait   = 1024                   // words of others that wait for the keeper
 	joinState   = 512 << 10              // bytes that a newcomer is told
 	syncWords   = 32                     // words of others in a later exchange
-	wordRepeats = 3                      // a word is passed on this many times the logarithm of the fleet's size
+	newsRepeats = 3                      // a word that changes something is passed on so many times the logarithm of the size
+	loadRepeats = 2                      // and one that only tells how much there is to do
 	streamLimit = 2 * time.Second        // for a call to another process
 	leaveLimit  = 200 * time.Millisecond // for the good-bye to be told by the failure detection, too
 	leaveTold   = 8                      // members that are told of it at once
@@ -78,7 +80,8 @@
 	started time.Time
 	keyring *memberlist.Keyring
 	wire    *wire
-	queue   memberlist.TransmitLimitedQueue
+	news    memberlist.TransmitLimitedQueue // of words that change something, which go first
+	loads   memberlist.TransmitLimitedQueue // of the others
 
 	statuses chan fleet.Status
 	changes  chan Change
@@ -97,6 +100,8 @@
 	list    *memberlist.Memberlist
 	calling bool
 	left    bool
+	changed bool          // since the last snapshot, in more than load
+	shown   time.Duration // when that was made
 }
 
 // Change is what a reload of the operators' file may change.
@@ -142,8 +147,9 @@
 		view:   fleet.NewView(cfg.Place.Name, cfg.Limits),
 		rejoin: fleet.NewRejoin(cfg.Seeds, rand.New(rand.NewPCG(cfg.Seed, cfg.Place.Run)))}
 	f.self = fleet.NewSelf(0, cfg.Place, cfg.Digest, cfg.Incarnation)
-	f.queue.NumNodes = func() int { return len(f.Snapshot().Members) }
-	f.queue.RetransmitMult = wordRepeats
+	f.news.NumNodes = func() int { return len(f.Snapshot().Members) }
+	f.loads.NumNodes = f.news.NumNodes
+	f.news.RetransmitMult, f.loads.RetransmitMult = newsRepeats, loadRepeats
 	if len(cfg.Keys) > 0 {
 		ring, err := memberlist.NewKeyring(cfg.Keys, cfg.Keys[0])
 		if err != nil {
@@ -264,6 +270,7 @@
 				f.calling = false
 			} else {
 				f.view.Tried(x.name, x.run, x.found)
+				f.changed = true
 			}
 		case <-timer.C:
 			f.look()
@@ -285,6 +292,7 @@
 				reach = fleet.Reached
 			}
 			f.view.Sighted(now, name, run, reach)
+			f.changed = true
 		}
 	}
 	clear(f.sights)
@@ -293,7 +301,9 @@
 	if f.self.Due(now, f.view.Size()) {
 		f.tell()
 	}
-	f.publish(now)
+	if f.changed || now-f.shown >= tick*time.Duration(f.view.Size()/loadTicks) {
+		f.publish(now)
+	}
 	if !f.calling {
 		f.call(now)
 	}
@@ -306,9 +316,22 @@
 	}
 	now := f.Now()
 	r := f.self.Tell(now)
-	made := now - r.Stalled
-	f.view.Joined(now, now-made, r)
-	f.queue.QueueBroadcast(&word{r, made, f.Now})
+	f.join(now, word{r, now - r.Stalled, f.Now})
+}
+
+// join joins a word and, if it is news, passes it on.
+func (f *Fleet) join(now time.Duration, w word) bool {
+	was := f.view.Known(w.rec.Name)
+	if !f.view.Joined(now, now-w.made, w.rec) {
+		return false
+	}
+	if was == nil || w.rec.Urgent(was) {
+		f.news.QueueBroadcast(&w)
+		f.changed = true
+	} else {
+		f.loads.QueueBroadcast(&w)
+	}
+	return true
 }
 
 // joined joins what another process told.
@@ -328,11 +351,10 @@
 			return
 		}
 	}
-	if f.view.Joined(now, now-w.made, w.rec) {
+	if f.join(now, w) {
 		f.Counters.News.Add(1)
-		f.queue.QueueBroadcast(&w)
 	} else if by, made := f.view.Overtaken(&w.rec); by != nil {
-		f.queue.QueueBroadcast(&word{*by, made, f.Now})
+		f.news.QueueBroadcast(&word{*by, made, f.Now})
 	}
 }
 
@@ -379,6 +401,7 @@
 // publish makes a snapshot, and logs what has changed since the last one.
 func (f *Fleet) publish(now time.Duration) {
 	s, old := f.view.Snapshot(now), f.Snapshot()
+	f.changed, f.shown = false, now
 	changes := s.Changes(old)
 	for i, c := range changes {
 		if i == linesMost {
@@ -418,9 +441,8 @@
 func (f *Fleet) goodBye() {
 	now := f.Now()
 	r := f.self.Leaving(now)
-	f.view.Joined(now, 0, r)
 	w := word{r, now, f.Now}
-	f.queue.QueueBroadcast(&w)
+	f.join(now, w)
 	s := f.Snapshot()
 	sent := 0
 	for _, i := range rand.Perm(len(s.Members)) {
@@ -500,7 +522,11 @@
 }
 
 func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	return d.f.queue.GetBroadcasts(overhead, limit)
+	b := d.f.news.GetBroadcasts(overhead, limit)
+	for _, m := range b {
+		limit -= overhead + len(m)
+	}
+	return append(b, d.f.loads.GetBroadcasts(overhead, limit)...)
 }
 
 // LocalState tells a newcomer of everybody, and others, now and then, of some.
--- /dev/null
+++ b/internal/operators/operators_test.go
@@ -0,0 +1,66 @@
+package operators
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const least = "[fleet]\nlisten = \"10.0.0.1:7946\"\nregion = \"belgium\"\nzone = \"mechelen\"\n"
+
+// The file that is shipped as an example must be one that starts, and say what the defaults are.
+func TestShippedFile(t *testing.T) {
+	dir := t.TempDir()
+	text, err := os.ReadFile("../../deploy/operators.toml")
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "fleet.key"), []byte("# newest first\n"+strings.Repeat("0a", 32)+"\n"), 0o600))
+	shipped, err := Parse(text, dir)
+	require.NoError(t, err)
+	require.Len(t, shipped.Fleet.Keys, 1)
+	plain, err := Parse([]byte(least), dir)
+	require.NoError(t, err)
+	require.Equal(t, plain.Fleet.Limits, shipped.Fleet.Limits)
+	require.Equal(t, plain.Fleet.Probe, shipped.Fleet.Probe)
+	require.Equal(t, 500*time.Millisecond, plain.Fleet.Probe)
+	require.Equal(t, "10.0.0.1:7946", plain.Fleet.Advertise)
+	none, err := Parse(nil, dir)
+	require.NoError(t, err)
+	require.Nil(t, none.Fleet)
+}
+
+// Whatever can't be meant must name its key; a key of the fleet must never be repeated in a message.
+func TestErrorsNameTheKey(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"bad": "secret\n", "none": "# nothing\n", "many": strings.Repeat(strings.Repeat("0a", 16)+"\n", 9)} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600))
+	}
+	for want, text := range map[string]string{
+		"fleet.listen: missing":               "[fleet]\n",
+		"fleet.listen: \"host\"":              strings.Replace(least, "10.0.0.1:7946", "host:7946", 1),
+		"fleet.listen: \"0\"":                 strings.Replace(least, "7946", "0", 1),
+		"fleet.advertise: 0.0.0.0":            strings.Replace(least, "10.0.0.1", "0.0.0.0", 1),
+		"fleet.seeds[1]":                      least + "seeds = [\"10.0.0.2:7946\", \"10.0.0.3\"]",
+		"fleet.seeds: 65":                     least + "seeds = [" + strings.Repeat("\"10.0.0.2:7946\",", 65) + "]",
+		"fleet.zone: missing":                 strings.Replace(least, "mechelen", "", 1),
+		"fleet.region: \"bel gium\"":          strings.Replace(least, "belgium", "bel gium", 1),
+		"fleet.size: 0":                       least + "size = 0",
+		"fleet.size: 500, and members_max is": least + "size = 500\nmembers_max = 400",
+		"fleet.forget_after: 1s":              least + "forget_after = \"1s\"",
+		"fleet.probe_every":                   least + "probe_every = \"often\"",
+		"fleet.speed: no such key (line 5)":   least + "speed = 5",
+		"fleet.size":                          least + "size = \"many\"",
+		"line 1":                              "[fleet",
+		"fleet.key_file: stat":                least + "key_file = \"absent\"",
+		"fleet.key_file: line 1: want":        least + "key_file = \"bad\"",
+		"fleet.key_file: no key":              least + "key_file = \"none\"",
+		"fleet.key_file: 9 keys":              least + "key_file = \"many\"",
+	} {
+		_, err := Parse([]byte(text), dir)
+		require.ErrorContains(t, err, want)
+		require.NotContains(t, err.Error(), "secret")
+	}
+}
--- a/lab/history/report.go
+++ b/lab/history/report.go
@@ -131,6 +131,7 @@
 		p.Legend.Add(word, line)
 	}
 	p.Legend.Top = true
+	p.Y.Max *= 1.3 // room for the legend
 	return p.Save(24*vg.Centimeter, 11*vg.Centimeter, path)
 }
 
--- a/lab/schedule/hard_test.go
+++ b/lab/schedule/hard_test.go
@@ -122,6 +122,18 @@
 			c.Start(1, fleet.Serving)
 			c.agree(t)
 		},
+		"two parts that began apart, a seed in each, find together though neither ever heard of the other": func(t *testing.T) {
+			c := New(8, 7)
+			defer c.Stop()
+			c.cut(func(from, to int) bool { return from%2 != to%2 })
+			for i := range c.Members {
+				c.Start(i, fleet.Serving)
+			}
+			time.Sleep(5 * time.Minute)
+			require.Len(t, c.Members[0].Fleet.Snapshot().Members, 4)
+			c.cut(none)
+			c.agree(t)
+		},
 		"40% loss for 10 s: nobody is removed for good": func(t *testing.T) {
 			c := begin(t, 10)
 			c.Net.Rule(func(string, string) memnet.Fault { return memnet.Fault{Loss: 0.4, Delay: time.Millisecond} })
