--- a/internal/server/member.go
+++ b/internal/server/member.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"falldeal/internal/fleet"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Fleet is where the loop tells how this server is, and where it reads what is known of the others. Neither blocks.
@@ -68,3 +70,12 @@
 	}
 	return fleet.Serving
 }
+
+// printFleet logs what is known of the others beside the counters.
+func (s *Server) printFleet() {
+	if s.member != nil {
+		v := s.member.fleet.Snapshot()
+		s.log.WithFields(logrus.Fields{"position": v.Position.String(), "known": v.Total.Known, "reached": v.Total.Reached(),
+			"silent": v.Total.Count[fleet.Silent]}).Info("fleet")
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -235,4 +235,5 @@
 	}
 	s.stats.AgentLinks, s.stats.StoreLinks = s.agent.Opens(), s.store.Opens()
 	s.stats.Print(s.log, len(s.requests), running, s.keys.size(), s.peers.size())
+	s.printFleet()
 }
