--- a/internal/fleet/explore_test.go
+++ b/internal/fleet/explore_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"falldeal/lab/explore"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -38,42 +40,25 @@
 	return k
 }
 
-// explore visits all states within depth steps and returns the first in which broken says why, with the steps to it.
-// plant may change what is heard.
-func explore(start *world, depth int, plant func(to *Self, r Record) Record, broken func(*world) string) (why string, steps []string, states int) {
-	type node struct {
-		w     *world
-		steps []string
-	}
-	seen := map[string]bool{}
-	for level, next := 0, []node{{start, nil}}; level <= depth; level++ {
-		this := next
-		next = nil
-		for _, n := range this {
-			if why := broken(n.w); why != "" {
-				return why, n.steps, states
-			}
-			add := func(step string, do func(*world)) {
-				c := n.w.clone()
-				do(c)
-				if k := c.key(); !seen[k] {
-					seen[k] = true
-					states++
-					next = append(next, node{c, append(slices.Clone(n.steps), step)})
-				}
+// steps is all that may happen in a state. Plant may change what is heard.
+func steps(plant func(to *Self, r Record) Record) func(*world) []explore.Step[*world] {
+	return func(from *world) (all []explore.Step[*world]) {
+		add := func(name string, do func(*world)) {
+			w := from.clone()
+			do(w)
+			all = append(all, explore.Step[*world]{Name: name, To: w})
+		}
+		add("wait", func(w *world) { w.now += yieldAfter })
+		for i := range from.live {
+			if !from.live[i].Yielded() {
+				add(fmt.Sprintf("%d tells", i), func(w *world) { w.said = append(w.said, w.live[i].Tell(w.now)) })
 			}
-			add("wait", func(w *world) { w.now += yieldAfter })
-			for i := range n.w.live {
-				if !n.w.live[i].Yielded() {
-					add(fmt.Sprintf("%d tells", i), func(w *world) { w.said = append(w.said, w.live[i].Tell(w.now)) })
-				}
-				for j := range n.w.said {
-					add(fmt.Sprintf("%d hears %d", i, j), func(w *world) { r := plant(w.live[i], w.said[j]); w.live[i].Heard(w.now, &r) })
-				}
+			for j := range from.said {
+				add(fmt.Sprintf("%d hears %d", i, j), func(w *world) { r := plant(w.live[i], w.said[j]); w.live[i].Heard(w.now, &r) })
 			}
 		}
+		return all
 	}
-	return "", nil, states
 }
 
 func honest(_ *Self, r Record) Record { return r }
@@ -97,18 +82,18 @@
 		start *world
 		depth int
 	}{"a predecessor's words": {lone(), 9}, "two at once": {twins(), 6}} {
-		why, steps, states := explore(c.start, c.depth, honest, leaves)
-		require.Empty(t, why, "%s: %v", name, steps)
-		t.Logf("%s: %d states within %d steps", name, states, c.depth)
+		found := explore.Visit(c.start, c.depth, steps(honest), (*world).key, leaves)
+		require.Empty(t, found.Why, "%s: %v", name, found.Steps)
+		t.Logf("%s: %d states within %d steps", name, found.States, c.depth)
 	}
 
 	// Planted: a protocol without proof of life, in which any word of another process counts as one.
-	why, steps, _ := explore(lone(), 9, func(to *Self, r Record) Record { r.Over = to.rec.Run; return r }, leaves)
-	require.NotEmpty(t, why)
-	t.Logf("planted fault found: %s, by %v", why, steps)
+	found := explore.Visit(lone(), 9, steps(func(to *Self, r Record) Record { r.Over = to.rec.Run; return r }), (*world).key, leaves)
+	require.NotEmpty(t, found.Why)
+	t.Logf("planted fault found: %s, by %v", found.Why, found.Steps)
 
 	// From wherever two processes got to, once they hear one another one of them is left, and its word is the greatest.
-	explore(twins(), 4, honest, func(w *world) string {
+	explore.Visit(twins(), 4, steps(honest), (*world).key, func(w *world) string {
 		c := w.clone()
 		for range 8 {
 			for i, s := range c.live {
