Shares of the store move between members of a fleet, where [overload] says so

Need: the escrow has to be carried out by servers: who asks whom, what the controller holds to, and what is told.

Change: the loop takes a turn of the exchange each 250 ms (internal/server/sharing.go) and has the controller hold to the least limit until two turns ahead, by Retune; decide is as it was. Who misses calls asks one of three members drawn from the view that told of the most to spare. Messages go to single members in the fleet's packets, encrypted like them; the clock is the process's own. Off unless the operators' file has [overload] shares.

Also: TestLastWords failed once on a busy machine: it took the socket's file for one that listens already; it waits for the kernel's word now.

--- a/cmd/falldeal-fleet/main.go
+++ b/cmd/falldeal-fleet/main.go
@@ -18,7 +18,9 @@
 	"falldeal/internal/fleet"
 	"falldeal/internal/gossip"
 	"falldeal/internal/operators"
+	"falldeal/internal/overload"
 	"falldeal/internal/process"
+	"falldeal/internal/server"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/pflag"
@@ -111,15 +113,20 @@
 		return process.Part{}, err
 	}
 	now := uint64(time.Now().UnixMilli())
+	run := now<<20 | binary.BigEndian.Uint64(random[:])>>44
 	m.fleet, err = gossip.New(gossip.Config{
 		Place: fleet.Place{Name: c.Name, Addr: f.Advertise, Region: f.Region, Zone: f.Zone, Version: version,
-			Run: now<<20 | binary.BigEndian.Uint64(random[:])>>44},
+			Run: run},
 		Listen: f.Listen, Seeds: f.Seeds, Keys: f.Keys, Digest: digest, Size: f.Size, Limits: f.Limits, Probe: f.Probe,
 		Seed: c.Seed, Incarnation: now}, m.log)
 	if err != nil {
 		return process.Part{}, err
 	}
-	return process.Part{Fleet: m.fleet, Run: m.run, Reload: m.reload, Figures: m.fleet.Figures, Pages: []console.Page{m.fleet.Page()}}, nil
+	part := process.Part{Fleet: m.fleet, Run: m.run, Reload: m.reload, Figures: m.fleet.Figures, Pages: []console.Page{m.fleet.Page()}}
+	if x := o.Overload; x != nil && x.Shares {
+		part.Prepare = func(s *server.Server) { s.Share(overload.Party{Name: c.Name, Run: run}, x.Lease, x.Keep) }
+	}
+	return part, nil
 }
 
 // run takes part until ctx ends. A process that takes another's place waits until that one has let the address go.
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -49,6 +49,7 @@
 	InHand   int     // requests without an answer
 	Share    float64 // mean calls in hand at the store that it may have; 0 = no bound
 	Shed     float64 // share of the requests since its last word that it turned away or failed
+	Calls    float64 // mean calls in hand at the store, of late
 }
 
 // Status is what the loop of a member tells.
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -36,6 +36,7 @@
 	InHand      int     `json:"in_hand"`
 	Share       float64 `json:"share"`
 	Shed        float64 `json:"shed"`
+	Calls       float64 `json:"calls"` // mean calls in hand at the store, of late
 	Self        bool    `json:"self,omitempty"`
 }
 
@@ -82,7 +83,7 @@
 		r.Members = append(r.Members, MemberReport{Name: m.Name, Process: m.Process(), Incarnation: m.Incarnation, Region: m.Region,
 			Zone: m.Zone, Condition: m.Condition(), Told: m.State.String(), AgeMs: m.Age(now).Milliseconds(),
 			SinceMs: max(now-m.Since, 0).Milliseconds(), Version: m.Version, Config: hex(m.Config), Addr: m.Addr, Cores: m.Load.Capacity,
-			Busy: m.Load.Busy, InHand: m.Load.InHand, Share: m.Load.Share, Shed: m.Load.Shed, Self: m.Self})
+			Busy: m.Load.Busy, InHand: m.Load.InHand, Share: m.Load.Share, Shed: m.Load.Shed, Calls: m.Load.Calls, Self: m.Self})
 	}
 	for i := range s.Zones {
 		r.Zones = append(r.Zones, s.Zones[i].report())
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -15,8 +15,11 @@
 // kept as they came and passed on, so that two versions live in one fleet.
 const (
 	kindWord = 1
-	headWord = 5
-	mostAge  = time.Duration(math.MaxUint32) * time.Millisecond
+	// KindDirect begins a message from one member to another, which is not passed on. What follows is another
+	// package's.
+	KindDirect = 2
+	headWord   = 5
+	mostAge    = time.Duration(math.MaxUint32) * time.Millisecond
 )
 
 const (
@@ -38,6 +41,7 @@
 	fInHand
 	fShare
 	fShed
+	fCalls
 	fieldsKnown
 )
 
@@ -83,6 +87,7 @@
 	whole(fInHand, uint64(max(r.Load.InHand, 0)))
 	whole(fShare, thousandths(r.Load.Share))
 	whole(fShed, thousandths(r.Load.Shed))
+	whole(fCalls, thousandths(r.Load.Calls))
 	return append(b, r.unknown...)
 }
 
@@ -176,6 +181,8 @@
 		r.Load.Share = part()
 	case fShed:
 		r.Load.Shed = min(part(), 1)
+	case fCalls:
+		r.Load.Calls = part()
 	}
 	return nil
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -31,6 +31,7 @@
 	tick        = 250 * time.Millisecond // between two looks of the keeper; a snapshot lacks no change for longer
 	loadTicks   = 256                    // what only tells of load is published one tick later for so many members
 	wordsWait   = 1024                   // words of others that wait for the keeper
+	directWait  = 256                    // messages to single members that wait to be sent
 	joinState   = 512 << 10              // bytes that a newcomer is told
 	syncWords   = 32                     // words of others in a later exchange
 	newsRepeats = 3                      // a word that changes something is passed on so many times the logarithm of the size
@@ -66,6 +67,7 @@
 	Words, News                                atomic.Int64 // read from others, and those of them that were news
 	Spoilt, Strangers, Overflow                atomic.Int64 // dropped: unreadable; not of this fleet; too many at once
 	Calls, CallsFailed                         atomic.Int64 // to members and seeds that were not reached
+	Direct                                     atomic.Int64 // messages to single members that were sent
 	Suspicions, Objections                     atomic.Int64 // raised by this process; against this process
 }
 
@@ -88,6 +90,8 @@
 	words    chan word
 	found    chan finding
 	calls    chan []target
+	direct   chan directed
+	hear     atomic.Pointer[func(b []byte)] // is handed messages to this member
 	snapshot atomic.Pointer[fleet.Snapshot]
 
 	mu     sync.Mutex
@@ -133,6 +137,12 @@
 	run  uint64
 }
 
+// directed is a message to one member.
+type directed struct {
+	to memberlist.Address
+	b  []byte
+}
+
 type finding struct {
 	target
 	found fleet.Evidence
@@ -143,7 +153,7 @@
 func New(cfg Config, logger logrus.FieldLogger) (*Fleet, error) {
 	f := &Fleet{cfg: cfg, log: logger, warn: logging.NewLimiter(logger), started: time.Now(),
 		statuses: make(chan fleet.Status, 1), changes: make(chan Change, 1), words: make(chan word, wordsWait),
-		found: make(chan finding, 8), calls: make(chan []target, 1), sights: map[string]bool{},
+		found: make(chan finding, 8), calls: make(chan []target, 1), direct: make(chan directed, directWait), sights: map[string]bool{},
 		view:   fleet.NewView(cfg.Place.Name, cfg.Limits),
 		rejoin: fleet.NewRejoin(cfg.Seeds, rand.New(rand.NewPCG(cfg.Seed, cfg.Place.Run)))}
 	f.self = fleet.NewSelf(0, cfg.Place, cfg.Digest, cfg.Incarnation)
@@ -192,6 +202,34 @@
 	f.statuses <- s
 }
 
+// Send sends b to a member, once and without word whether it came. It never blocks: what is too much is dropped. Any
+// goroutine may call it; b is not used by the caller any more.
+func (f *Fleet) Send(to *fleet.Member, b []byte) {
+	select {
+	case f.direct <- directed{memberlist.Address{Addr: to.Addr, Name: to.Process()}, append([]byte{fleet.KindDirect}, b...)}:
+	default:
+		f.Counters.Overflow.Add(1)
+	}
+}
+
+// Hear has messages to this member handed to hear, which must not block and must not keep b.
+func (f *Fleet) Hear(hear func(b []byte)) { f.hear.Store(&hear) }
+
+// sendDirect writes messages to single members, beside the keeper.
+func (f *Fleet) sendDirect(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-f.direct:
+			f.Counters.Direct.Add(1)
+			if err := f.list.SendToAddress(d.to, d.b); err != nil {
+				f.warn.Warn("fleet direct", "a message to a member was not sent", err)
+			}
+		}
+	}
+}
+
 // Reload takes over what may change. One goroutine may call it.
 func (f *Fleet) Reload(c Change) {
 	select {
@@ -216,6 +254,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.callOthers(ctx) })
+	g.Go(func() error { return f.sendDirect(ctx) })
 	g.Go(func() error {
 		defer cancel()
 		f.keep(ctx)
@@ -508,6 +547,12 @@
 func (d delegate) NodeMeta(int) []byte { return nil }
 
 func (d delegate) NotifyMsg(b []byte) {
+	if len(b) > 0 && b[0] == fleet.KindDirect {
+		if hear := d.f.hear.Load(); hear != nil {
+			(*hear)(b[1:])
+		}
+		return
+	}
 	r, age, err := fleet.ParseWord(b)
 	if err != nil {
 		d.f.Counters.Spoilt.Add(1)
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -15,7 +15,7 @@
 	m := map[string]int64{}
 	for name, v := range map[string]*atomic.Int64{"packets_out": &c.PacketsOut, "bytes_out": &c.BytesOut, "streams": &c.Streams,
 		"stream_bytes_out": &c.StreamBytes, "words": &c.Words, "news": &c.News, "spoilt": &c.Spoilt, "strangers": &c.Strangers,
-		"overflow": &c.Overflow, "calls": &c.Calls, "calls_failed": &c.CallsFailed, "suspicions": &c.Suspicions,
+		"overflow": &c.Overflow, "calls": &c.Calls, "calls_failed": &c.CallsFailed, "direct": &c.Direct, "suspicions": &c.Suspicions,
 		"objections": &c.Objections} {
 		m[name] = v.Load()
 	}
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -67,11 +69,19 @@
 	}
 }
 
-// listening waits until a process listens at path.
+// listening waits until a process listens at path. The file is there a little earlier, and who calls then is refused:
+// a machine that was busy stood still between the two, once.
 func listening(t *testing.T, path string) {
+	const accepts = "00010000" // the flag of a socket that listens; Linux
 	require.Eventually(t, func() bool {
-		at, err := filepath.Glob(path)
-		return err == nil && len(at) == 1
+		text, err := os.ReadFile("/proc/net/unix")
+		require.NoError(t, err)
+		for _, line := range strings.Split(string(text), "\n") {
+			if f := strings.Fields(line); len(f) > 7 && f[7] == path && f[3] == accepts {
+				return true
+			}
+		}
+		return false
 	}, 30*time.Second, time.Millisecond)
 }
 
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -34,11 +34,30 @@
 	leastForget   = time.Minute
 	mostForget    = 30 * 24 * time.Hour
 	defaultForget = 24 * time.Hour
+	leastLease    = 500 * time.Millisecond
+	mostLease     = time.Minute
+	defaultLease  = 3 * time.Second
+	defaultKeep   = 0.5
 )
 
 // File is what operators set.
 type File struct {
-	Fleet *Fleet // nil: the file has no table [fleet]
+	Fleet    *Fleet    // nil: the file has no table [fleet]
+	Overload *Overload // nil: the file has no table [overload], which needs [fleet]
+}
+
+// Overload is the table [overload].
+type Overload struct {
+	Shares bool          // shares of the store move between members
+	Lease  time.Duration // for which they are lent
+	Keep   float64       // part of the own share that is never lent
+}
+
+// overload is [overload] as it is written.
+type overload struct {
+	Shares bool     `toml:"shares"`
+	Lease  *string  `toml:"lease"`
+	Keep   *float64 `toml:"keep"`
 }
 
 // Fleet is the table [fleet].
@@ -96,20 +115,44 @@
 // their paths are absolute.
 func Parse(text []byte, dir string) (*File, error) {
 	var raw struct {
-		Fleet *table `toml:"fleet"`
+		Fleet    *table    `toml:"fleet"`
+		Overload *overload `toml:"overload"`
 	}
 	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := dec.Decode(&raw); err != nil {
 		return nil, named(err)
 	}
 	if raw.Fleet == nil {
+		if raw.Overload != nil {
+			return nil, errors.New("overload: needs the table fleet")
+		}
 		return &File{}, nil
 	}
 	f, err := raw.Fleet.checked(dir)
 	if err != nil {
 		return nil, fmt.Errorf("fleet.%w", err)
 	}
-	return &File{Fleet: f}, nil
+	o, err := raw.Overload.checked()
+	if err != nil {
+		return nil, fmt.Errorf("overload.%w", err)
+	}
+	return &File{Fleet: f, Overload: o}, nil
+}
+
+func (t *overload) checked() (*Overload, error) {
+	if t == nil {
+		return nil, nil
+	}
+	o := &Overload{Shares: t.Shares, Lease: defaultLease, Keep: defaultKeep}
+	if err := span("lease", t.Lease, leastLease, mostLease, &o.Lease); err != nil {
+		return nil, err
+	}
+	if t.Keep != nil {
+		if o.Keep = *t.Keep; !(o.Keep >= 0 && o.Keep <= 1) {
+			return nil, fmt.Errorf("keep: %v is not between 0 and 1", o.Keep)
+		}
+	}
+	return o, nil
 }
 
 // named has an error of the library name the key.
--- a/internal/overload/escrow.go
+++ b/internal/overload/escrow.go
@@ -108,6 +108,9 @@
 	return e
 }
 
+// Rebase puts another share in force, as new settings give it. What is lent stays lent.
+func (e *Escrow) Rebase(base, keep Share) { e.terms.Base, e.terms.Keep = base, keep }
+
 // over is how long after lending a share is back by itself.
 func (e *Escrow) over() time.Duration {
 	d := e.terms.Lease + e.terms.Call
@@ -149,11 +152,10 @@
 	return s
 }
 
-// expire forgets what is over.
+// expire forgets what is over. A loan whose use is over stays until it is given back, or is back by itself.
 func (e *Escrow) expire(now time.Duration) {
-	past := func(l loan) bool { return now >= l.until }
-	e.lent = slices.DeleteFunc(e.lent, past)
-	e.borrowed = slices.DeleteFunc(e.borrowed, past)
+	e.lent = slices.DeleteFunc(e.lent, func(l loan) bool { return now >= l.until })
+	e.borrowed = slices.DeleteFunc(e.borrowed, func(l loan) bool { return now >= l.until+e.terms.Call })
 	e.asks = slices.DeleteFunc(e.asks, func(a asking) bool { return now >= a.at+e.terms.Lease })
 }
 
@@ -213,16 +215,26 @@
 	return Message{Kind: Lend, From: e.self, To: m.From, Number: m.Number, Amount: amount}, true
 }
 
-// Return gives back what is not needed any more, the loan that ends last first: as much as leaves a limit of at least
-// what is in hand and needed.
+// Return gives back what may not be used any more, and what is not needed, the loan that ends last first: as much as
+// leaves a limit of at least what is in hand and needed.
 func (e *Escrow) Return(now time.Duration, inHand, need Share) (out []Message) {
 	e.expire(now)
 	slices.SortFunc(e.borrowed, func(a, b loan) int { return cmp.Or(cmp.Compare(a.until, b.until), a.with.compare(b.with)) })
 	for i := len(e.borrowed) - 1; i >= 0; i-- {
-		if l := e.borrowed[i]; e.Limit(now)-l.amount >= max(inHand, need) {
+		l := e.borrowed[i]
+		left := e.Limit(now)
+		if now < l.until {
+			left -= l.amount
+		} else if inHand <= left {
+			left = max(inHand, need) // its use is over, and no call of it is left
+		}
+		if left >= max(inHand, need) {
 			e.borrowed = slices.Delete(e.borrowed, i, i+1)
 			out = append(out, Message{Kind: Back, From: e.self, To: l.with, Number: l.number, Amount: l.amount})
 		}
 	}
 	return out
 }
+
+// LimitUntil is the least limit from now on until then, for who looks again only then.
+func (e *Escrow) LimitUntil(now, then time.Duration) Share { return min(e.Limit(now), e.Limit(then)) }
--- /dev/null
+++ b/internal/overload/sharing.go
@@ -0,0 +1,98 @@
+package overload
+
+import (
+	"time"
+
+	"falldeal/internal/fleet"
+)
+
+// How a member goes about borrowing. All of these are ours; the page on the exchange has what was measured.
+const (
+	// askAgain is how long after a question the same need asks the next member.
+	askAgain = 250 * time.Millisecond
+	// spare is the part of its use on top that a member keeps for itself before it lends, and before it gives back.
+	spare = 4
+	// useFades is the time constant of the mean use.
+	useFades = 2 * time.Second
+	// leastAsk is the least that is asked for, as a part of the own share.
+	leastAsk = 4
+	// candidates are drawn from the view for a question; the one with the most to spare is asked.
+	candidates = 3
+)
+
+// Sharing decides when a member asks whom for how much, and when it gives back: by what it uses and misses here, and by
+// what others have told of themselves. It belongs to one goroutine, the loop of the server.
+type Sharing struct {
+	*Escrow
+	pick   func(n int) int // draws a number below n
+	use    float64         // mean calls in hand
+	last   time.Duration   // when use was last brought up to date
+	missed int             // calls that could not be made since then
+	asked  time.Duration
+	begun  bool
+}
+
+// NewSharing begins with an escrow; pick draws numbers below its argument.
+func NewSharing(e *Escrow, pick func(n int) int) *Sharing { return &Sharing{Escrow: e, pick: pick} }
+
+// Missed notes that a call was left out, or a request refused, since no more calls may be in hand.
+func (s *Sharing) Missed() { s.missed++ }
+
+// Use is the mean of the calls in hand, of late.
+func (s *Sharing) Use() float64 { return s.use }
+
+// need is what this member means to use: its use and a quarter, or more than its limit while calls are missed.
+func (s *Sharing) need(now time.Duration) Share {
+	n := ShareOf(s.use * (spare + 1) / spare)
+	if s.missed > 0 {
+		n = max(n, s.Limit(now)+s.terms.Base/leastAsk)
+	}
+	return n
+}
+
+// Turn is taken a few times a second. InHand are the calls in hand now; view is what is known of the others, and at its
+// time. It returns what to say to others.
+func (s *Sharing) Turn(now time.Duration, inHand int, view *fleet.Snapshot, at time.Duration) (out []Message) {
+	if d := now - s.last; s.begun && d > 0 {
+		f := min(float64(d)/float64(useFades), 1)
+		s.use += f * (float64(inHand) - s.use)
+	}
+	s.begun, s.last = true, now
+	need := s.need(now)
+	out = s.Return(now, Share(1000*inHand), need)
+	if s.missed > 0 && now-s.asked >= askAgain {
+		if of, ok := s.richest(view, at); ok {
+			if m, ok := s.Ask(now, of, max(need-s.Limit(now), s.terms.Base/leastAsk)); ok {
+				s.asked = now
+				out = append(out, m)
+			}
+		}
+	}
+	s.missed = 0
+	return out
+}
+
+// Heard takes in a message and returns the answer, if there is one.
+func (s *Sharing) Heard(now time.Duration, m Message, inHand int) (Message, bool) {
+	return s.Hear(now, m, Share(1000*inHand), s.need(now))
+}
+
+// richest is who has told of the most calls to spare, of some that are drawn: if all asked the richest of all, it would
+// be asked by everybody at once.
+func (s *Sharing) richest(view *fleet.Snapshot, at time.Duration) (p Party, ok bool) {
+	if len(view.Members) == 0 {
+		return p, false
+	}
+	fresh := fleet.Fresh(len(view.Members))
+	most := 0.0
+	for range candidates {
+		m := &view.Members[s.pick(len(view.Members))]
+		if m.Self || !m.Serves(at, fresh) {
+			continue
+		}
+		if left := m.Load.Share - m.Load.Calls; left > most {
+			most, p, ok = left, Party{m.Name, m.Run}, true
+		}
+	}
+	return p, ok
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -28,6 +28,7 @@
 // Part is what a program adds to an image server. What is nil is left out.
 type Part struct {
 	Fleet   server.Fleet                    // the loop tells it how the server is
+	Prepare func(*server.Server)            // is called after the server has joined the fleet
 	Run     func(ctx context.Context) error // until ctx ends; an error is logged, and the server goes on without
 	Reload  func()                          // on SIGHUP, before the configuration is read again
 	Figures func(b []byte) []byte           // appended to those of the server
@@ -72,6 +73,9 @@
 	if part.Fleet != nil {
 		s.Join(part.Fleet)
 	}
+	if part.Prepare != nil {
+		part.Prepare(s)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	if c.Console != "" {
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -46,6 +46,9 @@
 
 func (s *Server) refuse(r *request, a decide.Action) {
 	r.trail.why = a.Why.String()
+	if a.Why == decide.CallsBehind {
+		s.missedCall()
+	}
 	s.answer(r, Answer{Kind: Refused, After: a.StayAway, Last: a.DontRetry})
 	if !r.running {
 		s.forget(r)
--- a/internal/server/member.go
+++ b/internal/server/member.go
@@ -12,6 +12,9 @@
 type Fleet interface {
 	Tell(fleet.Status)
 	Snapshot() *fleet.Snapshot
+	Now() time.Duration              // the clock by which snapshots go; the system's clock does not move it
+	Send(to *fleet.Member, b []byte) // to one member; it may not arrive
+	Hear(func(b []byte))             // has messages to this member handed over
 }
 
 // tellEvery is how often the loop speaks: one that stands still is missed by that.
@@ -23,9 +26,10 @@
 	warmAt    time.Duration
 	answered  uint64 // requests of which the last word told
 	turnedOff uint64 // and those of them that were not served
+	sharing   *sharing
 }
 
-// Join has the server tell a fleet how it is. It is called before Run.
+// Join has the server tell a fleet how it is. It is called before Run, and so is Share.
 func (s *Server) Join(f Fleet) { s.member = &member{fleet: f} }
 
 // keepTelling tells the fleet now and each second from now on.
@@ -56,6 +60,9 @@
 		st.Load.Shed = float64(off-m.turnedOff) / float64(all-m.answered)
 	}
 	m.answered, m.turnedOff = all, off
+	if m.sharing != nil {
+		st.Load.Calls = m.sharing.Use()
+	}
 	m.fleet.Tell(st)
 }
 
--- a/internal/server/member_test.go
+++ b/internal/server/member_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"falldeal/internal/agent"
 	"falldeal/internal/fleet"
+	"falldeal/internal/overload"
 
 	"github.com/stretchr/testify/require"
 )
@@ -13,17 +15,61 @@
 type told struct {
 	last  fleet.Status
 	words int
+	now   time.Duration
+	hear  func([]byte)
+	sent  []string
+	view  *fleet.View
 }
 
 func (f *told) Tell(s fleet.Status)       { f.last, f.words = s, f.words+1 }
-func (f *told) Snapshot() *fleet.Snapshot { return fleet.NewView("n3", fleet.Limits{}).Snapshot(0) }
+func (f *told) Snapshot() *fleet.Snapshot { return f.view.Snapshot(f.now) }
+func (f *told) Now() time.Duration        { return f.now }
+func (f *told) Hear(hear func([]byte))    { f.hear = hear }
+func (f *told) Send(to *fleet.Member, b []byte) {
+	f.sent = append(f.sent, string(b))
+}
+
+// What is lent must not be used from the moment that the answer goes out, and a member that hears nothing of anybody must
+// have what its settings give it.
+func TestShareIsLent(t *testing.T) {
+	s, do := idle(t)
+	f := &told{view: fleet.NewView("n3", fleet.Limits{Members: 4})}
+	f.view.Joined(0, 0, fleet.Record{Name: "n4", Run: 7, Seq: 1, State: fleet.Serving})
+	f.view.Sighted(0, "n4", 7, fleet.Reached)
+	s.Join(f)
+	s.Share(overload.Party{Name: "n3", Run: 1}, 2*time.Second, 0.5)
+	s.agentNotice(agent.Notice{Kind: agent.Greeting, Result: agent.Steady})
+	m := s.member.sharing
+	turn := func(now time.Duration) overload.Share {
+		f.now = now
+		s.keepSharing()
+		return m.bound
+	}
+	require.Zero(t, turn(0), "calls of a predecessor may be at work")
+	require.EqualValues(t, 2950, turn(time.Second), "and what it lent is out")
+	require.EqualValues(t, 5900, turn(time.Minute))
+	f.hear(overload.AppendMessage(nil, overload.Message{Kind: overload.Ask, From: overload.Party{Name: "n4", Run: 7},
+		To: overload.Party{Name: "n3", Run: 1}, Number: 1, Amount: 1000}))
+	f.hear([]byte("noise"))
+	do()
+	require.EqualValues(t, 4900, m.bound)
+	require.Len(t, f.sent, 1)
+	got, err := overload.ParseMessage([]byte(f.sent[0]))
+	require.NoError(t, err)
+	require.Equal(t, overload.Lend, got.Kind)
+	require.EqualValues(t, 1000, got.Amount)
+	require.EqualValues(t, 5900, turn(2*time.Minute))
+	s.missedCall()
+	turn(3 * time.Minute)
+	require.Len(t, f.sent, 1, "n4 told of nothing to spare")
+}
 
 // The fleet must hear of each change of state at once, and of what was turned away since the last word.
 func TestFleetIsTold(t *testing.T) {
 	s, do := idle(t)
 	s.keepTelling()
 	require.Zero(t, s.deadlines.Len(), "in no fleet nothing is told, and no timer set")
-	f := &told{}
+	f := &told{view: fleet.NewView("n3", fleet.Limits{})}
 	s.Join(f)
 	s.keepTelling()
 	require.Equal(t, fleet.Starting, f.last.State)
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -42,6 +42,7 @@
 	cfg := *s.cfg
 	cfg.Settings, cfg.Classes, cfg.Gauges, cfg.StopReplaced = next, names, c.Gauges, c.StopReplaced
 	s.cfg = &cfg
+	s.rebaseShare()
 	s.admitWaits()
 	for i, k := range next.Classes {
 		if !k.Gone {
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -27,6 +27,7 @@
 // skip lets a run go on without the call that it waits for.
 func (s *Server) skip(r *request) {
 	s.stats.Skips++
+	s.missedCall()
 	s.agent.Forgo(r.try.ID, r.offset)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -167,6 +167,7 @@
 	defer close(s.ended)
 	defer s.leave()
 	s.keepTelling()
+	s.keepSharing()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !s.finished() {
--- /dev/null
+++ b/internal/server/sharing.go
@@ -0,0 +1,112 @@
+package server
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"falldeal/internal/overload"
+)
+
+// Sharing: the bound on calls in hand at the store moves between the members of a fleet. What is lent and borrowed is
+// decided in package overload; here its word becomes the bound that the controller holds to.
+
+// shareEvery is how often the exchange takes a turn, and for how long ahead a bound has to hold.
+const shareEvery = 250 * time.Millisecond
+
+// leastBound stands for no call at all: 0 would mean no bound.
+const leastBound = 0.001
+
+type sharing struct {
+	*overload.Sharing
+	keep  float64        // part of the own share that is never lent
+	bound overload.Share // in force at the controller; -1 = not known
+}
+
+// Share has the server's share of the store move within its fleet, where its settings give it one. It is called after
+// Join and before Run. Self is this process as the fleet knows it; lease is how long a share is lent for, and keep the
+// part of the own that never is.
+func (s *Server) Share(self overload.Party, lease time.Duration, keep float64) {
+	base := overload.ShareOf(s.cfg.Settings.CallsOut)
+	if base == 0 {
+		return
+	}
+	e := overload.NewEscrow(s.member.fleet.Now(), self, overload.Terms{Base: base, Keep: overload.Share(keep * float64(base)),
+		Lease: lease, Call: s.mostWait + s.cfg.Settings.CallLingers, Linger: s.cfg.Settings.CallLingers})
+	r := rand.New(rand.NewPCG(s.cfg.Seed, self.Run))
+	s.member.sharing = &sharing{Sharing: overload.NewSharing(e, r.IntN), keep: keep, bound: -1}
+	s.member.fleet.Hear(func(b []byte) {
+		m, err := overload.ParseMessage(b)
+		if err != nil {
+			s.warn.Warn("share", "a message of another member can't be read", err)
+			return
+		}
+		select {
+		case s.in <- func() { s.heardOfShare(m) }:
+		default: // the loop is behind; whoever asked asks another
+		}
+	})
+}
+
+// keepSharing takes a turn of the exchange, now and again from now on.
+func (s *Server) keepSharing() {
+	if s.member == nil || s.member.sharing == nil {
+		return
+	}
+	m := s.member
+	now := m.fleet.Now()
+	for _, x := range m.sharing.Turn(now, s.store.InHand(), m.fleet.Snapshot(), now) {
+		s.sayOfShare(x)
+	}
+	s.holdBound(now)
+	s.deadlines.Add(s.clock.now+shareEvery, s.keepSharing)
+}
+
+func (s *Server) heardOfShare(x overload.Message) {
+	m := s.member
+	now := m.fleet.Now()
+	answer, ok := m.sharing.Heard(now, x, s.store.InHand())
+	s.holdBound(now) // what was lent is not used any more before the answer goes out
+	if ok {
+		s.sayOfShare(answer)
+	}
+}
+
+func (s *Server) sayOfShare(x overload.Message) {
+	if to := s.member.fleet.Snapshot().Find(x.To.Name); to != nil && to.Run == x.To.Run {
+		s.member.fleet.Send(to, overload.AppendMessage(nil, x))
+	}
+}
+
+// holdBound has the controller hold to what the member may have in hand until the next turn.
+func (s *Server) holdBound(now time.Duration) {
+	m := s.member.sharing
+	bound := m.LimitUntil(now, now+2*shareEvery)
+	if bound == m.bound || s.ctl == nil {
+		return
+	}
+	m.bound = bound
+	set := s.cfg.Settings
+	set.CallsOut = max(bound.Calls(), leastBound)
+	if err := s.ctl.Retune(set); err != nil {
+		s.warn.Warn("share", "a share of the store was not taken over", err)
+	}
+}
+
+// rebaseShare goes by the share of new settings.
+func (s *Server) rebaseShare() {
+	if s.member == nil || s.member.sharing == nil {
+		return
+	}
+	m := s.member.sharing
+	base := overload.ShareOf(s.cfg.Settings.CallsOut)
+	m.Rebase(base, overload.Share(m.keep*float64(base)))
+	m.bound = -1
+	s.holdBound(s.member.fleet.Now())
+}
+
+// missedCall notes that a call was left out, or a request turned away, for want of a share.
+func (s *Server) missedCall() {
+	if s.member != nil && s.member.sharing != nil {
+		s.member.sharing.Missed()
+	}
+}
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -204,6 +204,9 @@
 	return i < 0
 }
 
+// InHand is how many calls have no reply yet and were not given up.
+func (l *Link) InHand() int { return len(l.calls) }
+
 // Drop gives up the call for request id and reports whether there is one; nothing is told of it any more.
 func (l *Link) Drop(id string) bool {
 	c := l.calls[id]
--- a/lab/fleetlab/lab.go
+++ b/lab/fleetlab/lab.go
@@ -42,6 +42,7 @@
 	Seed    uint64
 	Probe   time.Duration
 	Keyed   bool // the fleet's words are encrypted
+	Shares  bool // shares of the store move between members
 	Level   string
 
 	Cores   int           // of each agent; every other member's are slower
@@ -237,6 +238,9 @@
 		}
 		text += "key_file = \"fleet.key\"\n"
 	}
+	if l.opt.Shares {
+		text += "[overload]\nshares = true\n"
+	}
 	return os.WriteFile(filepath.Join(m.dir, "operators.toml"), []byte(text), 0o600)
 }
 
