--- /dev/null
+++ b/cmd/falldeal-lab/compare.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"falldeal/lab/callers"
+	"falldeal/lab/faults"
+	"falldeal/lab/fleetlab"
+	"falldeal/lab/history"
+)
+
+// rules are those of every play of this program.
+var rules = history.Rules{Slack: 200 * time.Millisecond, Window: fleetlab.Window}
+
+// compare plays the same days, seed by seed, with shares of the store that stay and with such that move.
+func compare(a *asked, out io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	dir := a.o.Dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "falldeal-lab-"); err != nil {
+			return err
+		}
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "seed\tshares\tworth served\tserved whole\trefused\ttries each\tcalls\tin hand, mean\tmost\ttime over the bound\tbroken\t")
+	var gains []float64
+	broken := 0
+	for k := range a.compare {
+		var worth [2]float64
+		for on := range 2 {
+			b := *a
+			b.o.Seed, b.o.Shares = a.o.Seed+uint64(k), on == 1
+			b.o.Dir = filepath.Join(dir, fmt.Sprintf("seed%d-%d", b.o.Seed, on))
+			events, err := one(ctx, &b)
+			if err != nil {
+				return err
+			}
+			s := history.Sums(events)[""]
+			if s == nil {
+				return errors.New("no request was made")
+			}
+			n := len(history.Check(events, rules))
+			broken += n
+			store := history.Stores(events, b.o.Slots*len(b.o.Zones))
+			worth[on] = s.Got / s.Worth
+			fmt.Fprintf(t, "%d\t%s\t%.4f\t%.3f\t%d\t%.2f\t%d\t%.2f\t%d\t%.4f\t%d\t\n", b.o.Seed, []string{"stay", "move"}[on], worth[on],
+				float64(s.Whole)/float64(s.Requests), s.Refused, float64(s.Tries)/float64(s.Requests), store.Calls, store.Mean, store.Most,
+				store.Over, n)
+		}
+		gains = append(gains, worth[1]-worth[0])
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	slices.Sort(gains)
+	fmt.Fprintf(out, "gain in worth served: %+.4f / %+.4f / %+.4f (least, median, most of %d seeds)\n", gains[0], gains[len(gains)/2],
+		gains[len(gains)-1], len(gains))
+	if broken > 0 {
+		return fmt.Errorf("%d rules broken", broken)
+	}
+	return nil
+}
+
+// one plays one day and returns what happened.
+func one(ctx context.Context, a *asked) ([]history.Event, error) {
+	l, err := open(a)
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	if err := addScript(l, a.script, ""); err != nil {
+		return nil, err
+	}
+	if err := l.Begin(); err != nil {
+		return nil, err
+	}
+	err = drive(ctx, l, a, func(context.Context) {})
+	return l.Log.Events(), err
+}
+
+// addScript adds the faults of a file, or of a text where no file is named.
+func addScript(l *fleetlab.Lab, path, text string) error {
+	if path != "" {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		text = string(b)
+	}
+	script, err := faults.Parse([]byte(text), l.Places())
+	if err != nil {
+		return fmt.Errorf("script %s: %w", path, err)
+	}
+	for _, f := range script.Faults {
+		if err := l.Add(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drive has front ends send for as long as asked, while the script is played.
+func drive(ctx context.Context, l *fleetlab.Lab, a *asked, beside func(context.Context)) error {
+	a.plan.Classes, a.plan.Seed, a.plan.Rate = a.o.Classes, a.o.Seed, a.load*l.Capacity()
+	playing, end := context.WithCancel(ctx)
+	defer end()
+	var wg sync.WaitGroup
+	var failed error
+	wg.Add(2)
+	go func() { defer wg.Done(); failed = l.Play(playing) }()
+	go func() { defer wg.Done(); beside(playing) }()
+	for l.Log.Now() < 10*time.Second && len(l.Servers(0)()) < len(l.Members) && ctx.Err() == nil {
+		time.Sleep(50 * time.Millisecond) // all are listed, or are not going to be
+	}
+	loaded, cancel := context.WithTimeout(ctx, a.for_)
+	defer cancel()
+	callers.Run(loaded, a.plan, l.Servers(a.lag), l.Log)
+	end()
+	wg.Wait()
+	return failed
+}
--- a/cmd/falldeal-lab/main.go
+++ b/cmd/falldeal-lab/main.go
@@ -14,7 +14,6 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -71,6 +70,7 @@
 	fault     faults.Fault
 	lab       string
 	detect    int
+	compare   int
 }
 
 func command(args []string, out io.Writer) error {
@@ -90,6 +90,12 @@
 	retries := flags.Int("tries", 3, "fleet: tries of a request at most; 0 = no limit")
 	heed := flags.Bool("heed", true, "fleet: every other front end heeds advice")
 	flags.DurationVar(&a.lag, "lag", time.Second, "fleet: by which front ends' lists lag")
+	flags.BoolVar(&a.o.Shares, "shares", false, "fleet: shares of the store move between members")
+	flags.IntVar(&a.o.Slots, "slots", a.o.Slots, "fleet: of the store of each zone")
+	flags.DurationVar(&a.o.Call, "call", a.o.Call, "fleet: that a call takes in a slot")
+	flags.IntVar(&a.plan.Keys, "keys", 200, "fleet: different keys of reads; few make few servers busy for front ends that go by key")
+	flags.IntVar(&a.compare, "compare", 0, "fleet: play with so many seeds, each with shares that stay and that move, and compare")
+	byKey := flags.Bool("by-key", false, "fleet: all front ends go by key")
 	flags.IntVar(&a.detect, "detect", 0, "fleet: no load; kill a member that many times and time how long others take to see it")
 	flags.StringVar(&a.lab, "lab", "", "fault: address that fleet printed")
 	flags.StringVar(&a.fault.Kind, "kind", "", "fault: cut, loss, double, delay, slow, reset, kill, stop, term, restart, slowrun")
@@ -105,7 +111,12 @@
 		return err
 	}
 	a.plan.Habits = []callers.Habit{{Tries: *retries}, {ByKey: true, Tries: *retries, Heed: *heed}}
+	if *byKey {
+		a.plan.Habits = []callers.Habit{{ByKey: true, Tries: *retries, Heed: *heed}}
+	}
 	switch name := flags.Arg(0); {
+	case name == "fleet" && a.compare > 0:
+		return compare(&a, out)
 	case name == "fleet" && a.detect > 0:
 		return detect(&a, out)
 	case name == "fleet":
@@ -145,20 +156,8 @@
 		return err
 	}
 	defer l.Close()
-	text := []byte(example)
-	if a.script != "" {
-		if text, err = os.ReadFile(a.script); err != nil {
-			return err
-		}
-	}
-	script, err := faults.Parse(text, l.Places())
-	if err != nil {
-		return fmt.Errorf("script %s: %w", a.script, err)
-	}
-	for _, f := range script.Faults {
-		if err := l.Add(f); err != nil {
-			return err
-		}
+	if err := addScript(l, a.script, example); err != nil {
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -169,26 +168,11 @@
 	if err != nil {
 		return err
 	}
-	a.plan.Classes, a.plan.Keys, a.plan.Seed, a.plan.Rate = a.o.Classes, 200, a.o.Seed, a.load*l.Capacity()
 	fmt.Fprintf(out, "%d instances in %s; files in %s; faults are taken at %s\n", a.o.Members, strings.Join(a.o.Zones, ", "), a.o.Dir, at)
-	fmt.Fprintf(out, "%.0f requests a second for %v, %.0f%% of what the agents can do\n", a.plan.Rate, a.for_, 100*a.load)
+	fmt.Fprintf(out, "%.0f requests a second for %v, %.0f%% of what the agents can do\n", a.load*l.Capacity(), a.for_, 100*a.load)
 
-	loaded, cancel := context.WithTimeout(ctx, a.for_)
-	defer cancel()
-	playing, end := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	var failed error
-	wg.Add(2)
-	go func() { defer wg.Done(); failed = l.Play(playing) }()
-	go func() { defer wg.Done(); l.Watch(playing, 500*time.Millisecond) }()
-	for l.Log.Now() < 10*time.Second && len(l.Servers(0)()) < len(l.Members) && ctx.Err() == nil {
-		time.Sleep(50 * time.Millisecond) // all are listed, or are not going to be
-	}
-	callers.Run(loaded, a.plan, l.Servers(a.lag), l.Log)
-	end()
-	wg.Wait()
-	if failed != nil {
-		return failed
+	if err := drive(ctx, l, a, func(ctx context.Context) { l.Watch(ctx, 500*time.Millisecond) }); err != nil {
+		return err
 	}
 	events := l.Log.Events()
 	if err := history.Write(filepath.Join(a.o.Dir, "history.jsonl"), events); err != nil {
@@ -218,7 +202,7 @@
 	if err := history.Print(out, events); err != nil {
 		return err
 	}
-	broken := history.Check(events, history.Rules{Slack: 200 * time.Millisecond, Window: fleetlab.Window})
+	broken := history.Check(events, rules)
 	for _, b := range broken[:min(len(broken), 20)] {
 		fmt.Fprintln(out, "broken:", b)
 	}
--- a/internal/fleet/rejoin.go
+++ b/internal/fleet/rejoin.go
@@ -20,7 +20,7 @@
 // fleet which was cut in two finds together whichever side looks, also where two parts began apart and neither ever
 // heard of the other. It belongs to one goroutine.
 type Rejoin struct {
-	seeds []string
+	seeds map[string]bool // addresses; whether one is near: this process's own, or that of a member that is reached
 	rand  *rand.Rand
 	calls map[string]*calls
 }
@@ -32,11 +32,24 @@
 
 // NewRejoin returns a Rejoin that spreads its calls by rnd.
 func NewRejoin(seeds []string, rnd *rand.Rand) *Rejoin {
-	return &Rejoin{seeds: seeds, rand: rnd, calls: map[string]*calls{}}
+	r := &Rejoin{rand: rnd, calls: map[string]*calls{}}
+	r.Seeds(seeds)
+	return r
 }
 
 // Seeds replaces the seeds.
-func (r *Rejoin) Seeds(seeds []string) { r.seeds = seeds }
+func (r *Rejoin) Seeds(seeds []string) {
+	r.seeds = map[string]bool{}
+	for _, a := range seeds {
+		r.seeds[a] = false
+	}
+}
+
+func (r *Rejoin) near(addr string) {
+	if _, ok := r.seeds[addr]; ok {
+		r.seeds[addr] = true
+	}
+}
 
 // Next returns the addresses to call now, two at most. Waits double, and half of each is drawn, so that a fleet does
 // not call at one instant; they begin anew once the address was reached. In a fleet of many only some need to call a
@@ -44,15 +57,17 @@
 // often in a larger fleet than it can bear.
 func (r *Rejoin) Next(now time.Duration, s *Snapshot) []string {
 	wanted := map[string]bool{} // and whether others need the call as well
-	near := map[string]bool{}   // addresses of who is reached, and this one's
 	reached := 0
+	for a := range r.seeds {
+		r.seeds[a] = false
+	}
 	fresh := Fresh(len(s.Members))
 	for i := range s.Members {
 		switch m := &s.Members[i]; {
 		case m.Self:
-			near[m.Addr] = true
+			r.near(m.Addr)
 		case m.Standing == Alive || m.Standing == Suspect:
-			near[m.Addr] = true
+			r.near(m.Addr)
 			reached++
 		case m.Standing == HeardOf && m.Seq > 0 && m.Age(now) <= fresh && m.Addr != "":
 			wanted[m.Addr] = false // it speaks, and the failure detection here does not know of it
@@ -62,8 +77,8 @@
 			}
 		}
 	}
-	for _, a := range r.seeds {
-		if !near[a] {
+	for a, near := range r.seeds {
+		if !near {
 			wanted[a] = true
 		}
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -30,6 +30,8 @@
 const (
 	tick        = 250 * time.Millisecond // between two looks of the keeper; a snapshot lacks no change for longer
 	loadTicks   = 256                    // what only tells of load is published one tick later for so many members
+	callEvery   = time.Second            // between two looks for members to call, and as much more for each loadTicks members
+	forgetEvery = 10 * time.Second       // between two looks for members to forget
 	wordsWait   = 1024                   // words of others that wait for the keeper
 	directWait  = 256                    // messages to single members that wait to be sent
 	joinState   = 512 << 10              // bytes that a newcomer is told
@@ -106,6 +108,8 @@
 	left    bool
 	changed bool          // since the last snapshot, in more than load
 	shown   time.Duration // when that was made
+	callAt  time.Duration // when to look next for members to call, and to forget
+	dropAt  time.Duration
 }
 
 // Change is what a reload of the operators' file may change.
@@ -336,14 +340,18 @@
 	}
 	clear(f.sights)
 	f.mu.Unlock()
-	f.view.Forget(now)
+	if now >= f.dropAt {
+		f.dropAt = now + forgetEvery
+		f.view.Forget(now)
+	}
 	if f.self.Due(now, f.view.Size()) {
 		f.tell()
 	}
 	if f.changed || now-f.shown >= tick*time.Duration(f.view.Size()/loadTicks) {
 		f.publish(now)
 	}
-	if !f.calling {
+	if !f.calling && now >= f.callAt {
+		f.callAt = now + callEvery*time.Duration(1+f.view.Size()/loadTicks)
 		f.call(now)
 	}
 }
--- a/lab/callers/callers.go
+++ b/lab/callers/callers.go
@@ -24,6 +24,7 @@
 	Wait  time.Duration // until its caller gives up
 	Aim   time.Duration // within which it is worth anything
 	Worth float64
+	Poor  float64 // share of it without the call
 	Keyed bool
 }
 
@@ -136,7 +137,7 @@
 // serve tries a request until it is served, its caller gives up or the habit says that it is enough.
 func (f *frontEnd) serve(r *request) {
 	due := r.at + r.class.Wait
-	word := "refused"
+	word, got := "refused", 0.0
 	for {
 		s := f.choose(r)
 		if s == nil {
@@ -149,8 +150,11 @@
 		a := f.try(r, s, due)
 		word = a.word
 		if word == "served" {
+			if got = r.class.Worth; a.poorer {
+				got *= r.class.Poor
+			}
 			if f.log.Now()-r.at > r.class.Aim {
-				word = "late"
+				word, got = "late", 0
 			}
 			break
 		}
@@ -167,7 +171,7 @@
 		}
 	}
 	f.log.Add(history.Event{Kind: history.Request, Class: r.class.Name, Word: word, N: r.tries, Took: f.log.Now() - r.at, Worth: r.class.Worth,
-		Caller: f.number})
+		Got: got, Caller: f.number})
 }
 
 // again reports whether the habit allows another try, and books it.
@@ -210,9 +214,10 @@
 }
 
 type answer struct {
-	word  string
-	after time.Duration
-	last  bool
+	word   string
+	after  time.Duration
+	last   bool
+	poorer bool // served without the call
 }
 
 // try sends a request to one server and waits for its answer.
--- a/lab/callers/link.go
+++ b/lab/callers/link.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"falldeal/lab/standin"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -98,7 +100,7 @@
 	dec := msgpack.NewDecoder(bufio.NewReader(l.nc))
 	for {
 		m, err := dec.DecodeSlice()
-		if err != nil || len(m) < 3 {
+		if err != nil || len(m) < 3 || len(m) > 4 {
 			break
 		}
 		if len(m) == 3 { // a notification: closing
@@ -118,7 +120,7 @@
 		idle := l.gone && len(l.open) == 0
 		l.mu.Unlock()
 		if got != nil {
-			got <- parse(m[2])
+			got <- parse(m[2], m[3])
 		}
 		if idle {
 			break
@@ -157,9 +159,14 @@
 }
 
 // parse reads the error of an answer: nil, or a list of its name and fields.
-func parse(fault any) answer {
+func parse(fault, result any) answer {
 	if fault == nil {
-		return answer{word: "served"}
+		a := answer{word: "served"}
+		if list, _ := result.([]any); len(list) > 0 {
+			body, _ := list[0].([]byte)
+			a.poorer = string(body) == standin.Poorer
+		}
+		return a
 	}
 	list, _ := fault.([]any)
 	if len(list) == 0 || list[0] != "Overloaded" {
--- a/lab/fleetlab/lab.go
+++ b/lab/fleetlab/lab.go
@@ -57,7 +57,7 @@
 	return Options{Members: 6, Zones: []string{"brussel-noord", "zaventem", "mechelen"}, Region: "belgium", Seed: 1,
 		Probe: 500 * time.Millisecond, Level: "info", Cores: 4, ColdFor: 4 * time.Second, Slots: 16, Call: 30 * time.Millisecond,
 		Classes: []callers.Class{
-			{Name: "preview", Share: 0.6, Work: 40 * time.Millisecond, Wait: 4 * time.Second, Aim: 1900 * time.Millisecond, Worth: 1},
+			{Name: "preview", Share: 0.6, Work: 40 * time.Millisecond, Wait: 4 * time.Second, Aim: 1900 * time.Millisecond, Worth: 1, Poor: 0.6},
 			{Name: "hires-crop", Share: 0.3, Work: 90 * time.Millisecond, Wait: 4 * time.Second, Aim: 1900 * time.Millisecond, Worth: 2},
 			{Name: "licence-order", Share: 0.1, Work: 60 * time.Millisecond, Wait: 4 * time.Second, Aim: 1900 * time.Millisecond, Worth: 3, Keyed: true}}}
 }
--- a/lab/history/history.go
+++ b/lab/history/history.go
@@ -39,9 +39,10 @@
 	Caller int           `json:"caller,omitempty"`
 	Word   string        `json:"word,omitempty"`
 	N      int           `json:"n,omitempty"`
-	Due    time.Duration `json:"due,omitempty"`  // on the same clock
-	Took   time.Duration `json:"took,omitempty"` // of a request
-	Worth  float64       `json:"worth,omitempty"`
+	Due    time.Duration `json:"due,omitempty"`   // on the same clock
+	Took   time.Duration `json:"took,omitempty"`  // of a request
+	Worth  float64       `json:"worth,omitempty"` // of a request, and what of it was got
+	Got    float64       `json:"got,omitempty"`
 }
 
 // Log collects events. Its methods may be called from any goroutine.
--- a/lab/history/report.go
+++ b/lab/history/report.go
@@ -18,6 +18,7 @@
 // Sum is what became of the requests of a class.
 type Sum struct {
 	Requests, Served, Late, Refused, Failed, Tries int
+	Whole                                          int     // served with all that belongs to it
 	Worth, Got                                     float64 // asked for, and served in time
 	Took                                           *hdrhistogram.Histogram
 }
@@ -42,7 +43,10 @@
 			switch e.Word {
 			case "served":
 				s.Served++
-				s.Got += e.Worth
+				s.Got += e.Got
+				if e.Got == e.Worth {
+					s.Whole++
+				}
 				_ = s.Took.RecordValue(max(e.Took.Milliseconds(), 1)) // longer than a minute: the caller has gone
 			case "late":
 				s.Late++
@@ -56,6 +60,43 @@
 	return sums
 }
 
+// Store is what the stores together saw.
+type Store struct {
+	Calls int
+	Most  int     // in hand at one instant
+	Mean  float64 // in hand over the time
+	Over  float64 // share of the time with more in hand than a bound
+}
+
+// Stores sums up the calls of a history.
+func Stores(events []Event, bound int) (s Store) {
+	n, last := 0, time.Duration(0)
+	var held, over, all time.Duration
+	for i := range events {
+		e := &events[i]
+		if e.Kind != Call && e.Kind != CallEnd {
+			continue
+		}
+		if all > 0 || n > 0 {
+			held += time.Duration(n) * (e.At - last)
+			if n > bound {
+				over += e.At - last
+			}
+			all += e.At - last
+		}
+		last = e.At
+		if e.Kind == CallEnd {
+			n--
+			continue
+		}
+		n++
+		s.Calls++
+		s.Most = max(s.Most, n)
+	}
+	s.Mean, s.Over = float64(held)/float64(max(all, 1)), float64(over)/float64(max(all, 1))
+	return s
+}
+
 // Print prints the sums as a table.
 func Print(w io.Writer, events []Event) error {
 	sums := Sums(events)
--- a/lab/standin/agent.go
+++ b/lab/standin/agent.go
@@ -16,6 +16,9 @@
 // noticesKept is how many notices an agent remembers for links that come back; protocol.
 const noticesKept = 4000
 
+// Poorer is the result of a run that went on without its call.
+const Poorer = "without its call"
+
 // Launch is a run that an agent is asked for.
 type Launch struct {
 	Req, Class string
@@ -159,6 +162,9 @@
 	case "deliver", "forgo":
 		if r != nil && r.waiting {
 			r.waiting = false
+			if c.Cmd == "forgo" {
+				r.launch.Body = []byte(Poorer)
+			}
 			a.work(r)
 		}
 	default:
