Loans are renewed before they end and kept for a lease; 'nothing to lend' is an answer

Cause: a loan was given back in the next turn, as need went by a lagging mean and by misses of that one turn (Sharing.need); and a question that was not answered kept others from being asked for a whole lease (Escrow.lend).

Change: what is wanted counts for a lease after calls were missed, a loan is renewed a second before its end, and whoever has nothing to lend says so.

--- a/internal/overload/escrow.go
+++ b/internal/overload/escrow.go
@@ -52,7 +52,7 @@
 
 const (
 	Ask  Kind = iota + 1 // lend me Amount, or less
-	Lend                 // Amount is yours until your asking and the lease is over
+	Lend                 // Amount is yours until your asking and the lease is over; 0: nothing is
 	Back                 // I shall not use it any more
 )
 
@@ -197,10 +197,12 @@
 	return Message{}, false
 }
 
-// lend lends what is neither in hand, nor needed here, nor kept, nor another's.
+// lend lends what is neither in hand, nor needed here, nor kept, nor another's. It says so where that is nothing, so
+// that whoever asked may ask another.
 func (e *Escrow) lend(now time.Duration, m Message, inHand, need Share) (Message, bool) {
+	answer := Message{Kind: Lend, From: e.self, To: m.From, Number: m.Number}
 	if now < e.ready || len(e.lent) >= mostLoans {
-		return Message{}, false
+		return answer, true
 	}
 	if slices.ContainsFunc(e.lent, func(l loan) bool { return l.with == m.From && l.number >= m.Number }) {
 		return Message{}, false // the same question again, or one that a later has overtaken
@@ -208,11 +210,11 @@
 	lent := e.Lent(now)
 	free := min(e.terms.Base-e.terms.Keep-lent, e.terms.Base-lent-max(inHand, need))
 	amount := min(m.Amount, free)
-	if amount <= 0 {
-		return Message{}, false
+	if amount > 0 {
+		answer.Amount = amount
+		e.lent = append(e.lent, loan{m.From, m.Number, amount, now + e.over()})
 	}
-	e.lent = append(e.lent, loan{m.From, m.Number, amount, now + e.over()})
-	return Message{Kind: Lend, From: e.self, To: m.From, Number: m.Number, Amount: amount}, true
+	return answer, true
 }
 
 // Return gives back what may not be used any more, and what is not needed, the loan that ends last first: as much as
--- a/internal/overload/sharing.go
+++ b/internal/overload/sharing.go
@@ -14,8 +14,12 @@
 	spare = 4
 	// useFades is the time constant of the mean use.
 	useFades = 2 * time.Second
-	// leastAsk is the least that is asked for, as a part of the own share.
+	// leastAsk is the least that is asked for, as a part of the own share, and by how much a miss raises what is wanted.
 	leastAsk = 4
+	// askAhead is how long before a loan ends another is asked for in its place.
+	askAhead = time.Second
+	// wantMost bounds what is wanted, in own shares: the rest of the fleet has needs as well.
+	wantMost = 8
 	// candidates are drawn from the view for a question; the one with the most to spare is asked.
 	candidates = 3
 )
@@ -29,6 +33,8 @@
 	last   time.Duration   // when use was last brought up to date
 	missed int             // calls that could not be made since then
 	asked  time.Duration
+	wanted Share         // what would have been enough when calls were missed last
+	until  time.Duration // and until when that counts
 	begun  bool
 }
 
@@ -41,11 +47,12 @@
 // Use is the mean of the calls in hand, of late.
 func (s *Sharing) Use() float64 { return s.use }
 
-// need is what this member means to use: its use and a quarter, or more than its limit while calls are missed.
+// need is what this member means to use: its use and a quarter, and for the length of a lease after it missed calls
+// more than it had then. A loan that was given back as soon as it helped would have to be asked for again at once.
 func (s *Sharing) need(now time.Duration) Share {
 	n := ShareOf(s.use * (spare + 1) / spare)
-	if s.missed > 0 {
-		n = max(n, s.Limit(now)+s.terms.Base/leastAsk)
+	if now < s.until {
+		n = max(n, s.wanted)
 	}
 	return n
 }
@@ -58,17 +65,20 @@
 		s.use += f * (float64(inHand) - s.use)
 	}
 	s.begun, s.last = true, now
+	if s.missed > 0 {
+		s.wanted = min(s.Limit(now)+s.terms.Base/leastAsk, wantMost*s.terms.Base)
+		s.until, s.missed = now+s.terms.Lease, 0
+	}
 	need := s.need(now)
 	out = s.Return(now, Share(1000*inHand), need)
-	if s.missed > 0 && now-s.asked >= askAgain {
+	if lacks := need - s.LimitUntil(now, now+askAhead); lacks > 0 && now < s.until && now-s.asked >= askAgain {
 		if of, ok := s.richest(view, at); ok {
-			if m, ok := s.Ask(now, of, max(need-s.Limit(now), s.terms.Base/leastAsk)); ok {
+			if m, ok := s.Ask(now, of, max(lacks, s.terms.Base/leastAsk)); ok {
 				s.asked = now
 				out = append(out, m)
 			}
 		}
 	}
-	s.missed = 0
 	return out
 }
 
--- a/internal/server/member.go
+++ b/internal/server/member.go
@@ -62,6 +62,9 @@
 	m.answered, m.turnedOff = all, off
 	if m.sharing != nil {
 		st.Load.Calls = m.sharing.Use()
+		if m.sharing.bound >= 0 {
+			st.Load.Share = m.sharing.bound.Calls()
+		}
 	}
 	m.fleet.Tell(st)
 }
