--- a/lab/fleetlab/lab.go
+++ b/lab/fleetlab/lab.go
@@ -62,6 +62,13 @@
 			{Name: "licence-order", Share: 0.1, Work: 60 * time.Millisecond, Wait: 4 * time.Second, Aim: 1900 * time.Millisecond, Worth: 3, Keyed: true}}}
 }
 
+// A store falls when it has that many times its slots in hand for so long, and is down for a while.
+const (
+	fallMost  = 5
+	fallAfter = 5 * time.Second
+	fallDown  = 4 * time.Second
+)
+
 // Window is within which an order must not run again; it stands in the servers' settings.
 const Window = 17457 * time.Millisecond
 
@@ -153,8 +160,9 @@
 			return err
 		}
 		l.closers = append(l.closers, ln)
-		s := &standin.Store{Now: l.Log.Now, Work: l.opt.Call, Slots: plant.NewPool(plant.Curve{Places: l.opt.Slots, Speed: 1, Knee: 1,
-			Decay: 0.2, Least: 0.3}, l.Log.Now())}
+		s := &standin.Store{Now: l.Log.Now, Work: l.opt.Call, Fall: plant.Fall{Most: fallMost * l.opt.Slots, After: fallAfter, Down: fallDown},
+			Slots: plant.NewPool(plant.Curve{Places: l.opt.Slots, Speed: 1, Knee: 1,
+				Decay: 0.2, Least: 0.3}, l.Log.Now())}
 		s.Began = func(id string, n int) { l.Log.Add(history.Event{Kind: history.Call, Try: id, Server: zone, N: n}) }
 		s.Ended = func(id string, n int) { l.Log.Add(history.Event{Kind: history.CallEnd, Try: id, Server: zone, N: n}) }
 		l.Stores[zone] = s
--- a/lab/schedule/schedule_test.go
+++ b/lab/schedule/schedule_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	schedules = flag.Int("schedules", 60, "schedules of faults to play")
+	schedules = flag.Int("schedules", 1000, "schedules of faults to play")
 	firstSeed = flag.Uint64("first", 1, "seed of the first one")
 	members   = flag.Int("members", 0, "members of each fleet; 0 = drawn, 5 to 12")
 )
