--- a/cmd/falldeal-fleet/main.go
+++ b/cmd/falldeal-fleet/main.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"falldeal/internal/config"
@@ -95,7 +94,6 @@
 	log                     *logrus.Logger
 	fleet                   *gossip.Fleet
 	bindAgain               bool
-	failed                  atomic.Int64 // reloads that were turned down
 }
 
 // part returns what the process adds to the server; nothing where the file has no fleet.
@@ -154,7 +152,6 @@
 		err = errors.New("fleet: it is joined or left by a start only")
 	}
 	if err != nil {
-		m.failed.Add(1)
 		m.log.WithError(err).Error("operators' file not taken over; what was in force stays")
 		return
 	}
--- a/cmd/falldeal-lab/main.go
+++ b/cmd/falldeal-lab/main.go
@@ -66,7 +66,6 @@
 	script    string
 	load      float64
 	lag, for_ time.Duration
-	keep      bool
 	fault     faults.Fault
 	lab       string
 	detect    int
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -70,14 +70,19 @@
 		z.Count[Left], z.Count[HeardOf], z.Dark()}
 }
 
+// HeardMs is how long ago a word of another member came last, in milliseconds; -1 = never.
+func (s *Snapshot) HeardMs(now time.Duration) int64 {
+	if s.Position == Alone {
+		return -1
+	}
+	return (now - s.Heard).Milliseconds()
+}
+
 // Report puts the snapshot into words, as of now.
 func (s *Snapshot) Report(now time.Duration) Report {
 	n := len(s.Members)
-	r := Report{Self: s.Self, Position: s.Position.String(), HeardMs: -1, PeriodMs: Period(n).Milliseconds(),
+	r := Report{Self: s.Self, Position: s.Position.String(), HeardMs: s.HeardMs(now), PeriodMs: Period(n).Milliseconds(),
 		FreshMs: Fresh(n).Milliseconds(), Total: s.Total.report(), Members: make([]MemberReport, 0, n)}
-	if s.Position != Alone {
-		r.HeardMs = (now - s.Heard).Milliseconds()
-	}
 	for i := range s.Members {
 		m := &s.Members[i]
 		r.Members = append(r.Members, MemberReport{Name: m.Name, Process: m.Process(), Incarnation: m.Incarnation, Region: m.Region,
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -591,7 +591,10 @@
 	}
 	var b []byte
 	for i := range min(n, most) {
-		m := &s.Members[(i+rand.IntN(n)*btoi(!join))%n]
+		if !join {
+			i = rand.IntN(n)
+		}
+		m := &s.Members[i]
 		if m.Seq == 0 || m.Standing == fleet.HeardOf {
 			continue // never told, or nothing that this process can vouch for
 		}
@@ -605,13 +608,6 @@
 	return b
 }
 
-func btoi(v bool) int {
-	if v {
-		return 1
-	}
-	return 0
-}
-
 func (d delegate) MergeRemoteState(b []byte, _ bool) {
 	for len(b) >= 2 {
 		n := int(binary.BigEndian.Uint16(b))
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"falldeal/internal/console"
+	"falldeal/internal/fleet"
 )
 
 // all are the counters by name.
@@ -41,23 +42,21 @@
 		b = append(append(append(b, "app.fleet."...), name...), ':')
 		b = append(append(append(strconv.AppendInt(b, v, 10), '|'), kind...), '\n')
 	}
-	s := f.Snapshot()
-	t := s.Report(f.Now())
+	s, now := f.Snapshot(), f.Now()
+	sum, count := s.Sum(now, fleet.Fresh(len(s.Members))), &s.Total.Count
 	for _, x := range []struct {
 		name string
 		v    int
-	}{{"known", t.Total.Known}, {"alive", t.Total.Alive}, {"suspect", t.Total.Suspect}, {"wedged", t.Total.Wedged},
-		{"cut_off", t.Total.CutOff}, {"dead", t.Total.Dead}, {"left", t.Total.Left}, {"stale", t.Fresh.Stale},
+	}{{"known", s.Total.Known}, {"alive", count[fleet.Alive]}, {"suspect", count[fleet.Suspect]}, {"wedged", count[fleet.Wedged]},
+		{"cut_off", count[fleet.Silent]}, {"dead", count[fleet.Dead]}, {"left", count[fleet.Left]}, {"stale", sum.Stale},
 		{"position", int(s.Position)}} {
 		line(x.name, int64(x.v), "g")
 	}
-	line("heard_ms", t.HeardMs, "g")
-	line("oldest_ms", t.Fresh.OldestMs, "g")
+	line("heard_ms", s.HeardMs(now), "g")
+	line("oldest_ms", sum.Oldest.Milliseconds(), "g")
 	counters := f.Counters.all()
-	for _, name := range sortedNames(counters) {
+	for _, name := range slices.Sorted(maps.Keys(counters)) {
 		line(name, counters[name], "c")
 	}
 	return b
 }
-
-func sortedNames(m map[string]int64) []string { return slices.Sorted(maps.Keys(m)) }
--- a/lab/faults/faults_test.go
+++ b/lab/faults/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,11 +103,15 @@
 	dial := func(limit time.Duration) (net.Conn, error) {
 		return (&net.Dialer{Timeout: limit, LocalAddr: &net.TCPAddr{IP: from.IP}}).Dial("tcp", at(250, 2))
 	}
-	nc, err := dial(time.Minute)
-	require.NoError(t, err)
-	_, err = nc.Read(got)
-	require.Error(t, err, "nobody listens")
-	nc.Close()
+	isReset := func() { // while it connects, or as soon as it has
+		nc, err := dial(time.Minute)
+		if err == nil {
+			_, err = nc.Read(got)
+			nc.Close()
+		}
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+	isReset() // nobody listens
 	ln, err := net.Listen("tcp", at(251, 2))
 	require.NoError(t, err)
 	defer ln.Close()
@@ -126,16 +131,12 @@
 	n, _, err := b.ReadFrom(got)
 	require.NoError(t, err)
 	require.Equal(t, "twice", string(got[:n]))
-	nc, err = dial(time.Minute)
+	nc, err := dial(time.Minute)
 	require.NoError(t, err)
 	defer nc.Close()
 	n, err = nc.Read(got)
 	require.NoError(t, err)
 	require.Equal(t, "welcome", string(got[:n]))
 	require.NoError(t, r.Set(func(string, string) Rule { return Rule{Reset: true} }))
-	nc, err = dial(time.Minute)
-	require.NoError(t, err)
-	_, err = nc.Read(got)
-	require.Error(t, err)
-	nc.Close()
+	isReset()
 }
--- a/lab/faults/script.go
+++ b/lab/faults/script.go
@@ -220,15 +220,3 @@
 		r.Reset = true
 	}
 }
-
-// Edges are the instants at which rules change.
-func (s *Script) Edges() (at []time.Duration) {
-	for _, f := range s.Faults {
-		at = append(at, f.At)
-		if f.For > 0 {
-			at = append(at, f.At+f.For)
-		}
-	}
-	slices.Sort(at)
-	return slices.Compact(at)
-}
--- a/lab/fleetlab/lab.go
+++ b/lab/fleetlab/lab.go
@@ -112,7 +112,6 @@
 	agentLn net.Listener
 	ended   chan struct{}
 	starts  int
-	late    bool
 }
 
 // New prepares a fleet; no process runs before Start.
--- a/lab/fleetlab/play.go
+++ b/lab/fleetlab/play.go
@@ -26,20 +26,18 @@
 
 // Begin starts all members but those that a fault of the script has start late.
 func (l *Lab) Begin() error {
-	for _, m := range l.Members {
-		m.late = false
-	}
+	late := map[string]bool{}
 	l.mu.Lock()
 	for i := range l.script.Faults {
 		if f := &l.script.Faults[i]; f.Kind == faults.Late {
 			for _, name := range l.script.Victims(f) {
-				l.Find(name).late = true
+				late[name] = true
 			}
 		}
 	}
 	l.mu.Unlock()
 	for _, m := range l.Members {
-		if !m.late {
+		if !late[m.Name] {
 			if err := m.Start(); err != nil {
 				return err
 			}
--- a/lab/memnet/memnet.go
+++ b/lab/memnet/memnet.go
@@ -59,7 +59,6 @@
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	down    bool // under the network's lock
-	stopped bool
 	conns   map[*conn]bool
 }
 
--- a/lab/schedule/heartbeat.go
+++ b/lab/schedule/heartbeat.go
@@ -24,11 +24,10 @@
 	Wrong  int // times it called somebody lost
 	cancel context.CancelFunc
 	ended  chan struct{}
-	seen   chan string
 }
 
-// Start starts a member among addrs; its own is addrs[i]. Lost are told on a channel of the caller.
-func (h Heartbeats) Start(n *memnet.Net, addrs []string, i int, lost chan<- string) *Beater {
+// Start starts a member among addrs; its own is addrs[i].
+func (h Heartbeats) Start(n *memnet.Net, addrs []string, i int) *Beater {
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Beater{host: n.Host(addrs[i]), heard: map[string]time.Time{}, lost: map[string]bool{}, cancel: cancel, ended: make(chan struct{})}
 	go func() {
@@ -56,10 +55,6 @@
 					if time.Since(b.heard[a]) > time.Duration(h.Missed)*h.Every && !b.lost[a] {
 						b.lost[a] = true
 						b.Wrong++
-						select {
-						case lost <- a:
-						default:
-						}
 					}
 				}
 			}
--- a/lab/schedule/measure_test.go
+++ b/lab/schedule/measure_test.go
@@ -83,7 +83,7 @@
 		}
 		var all []*Beater
 		for i := range n {
-			all = append(all, Heartbeats{Every: time.Second, Missed: 4, Bytes: 120}.Start(net, addrs, i, nil))
+			all = append(all, Heartbeats{Every: time.Second, Missed: 4, Bytes: 120}.Start(net, addrs, i))
 		}
 		time.Sleep(2*time.Second + time.Second/2)
 		used := cpu()
@@ -185,7 +185,7 @@
 		}
 		var all []*Beater
 		for i := range n {
-			all = append(all, Heartbeats{Every: time.Second, Missed: 4, Bytes: 120}.Start(net, addrs, i, nil))
+			all = append(all, Heartbeats{Every: time.Second, Missed: 4, Bytes: 120}.Start(net, addrs, i))
 		}
 		time.Sleep(30 * time.Second)
 		wrong := 0
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -29,30 +29,6 @@
 	mu    sync.Mutex // of the slots
 	hand  map[string]func(word string)
 	timer *time.Timer
-	falls int
-}
-
-// Falls is how often the store fell.
-func (s *Store) Falls() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.falls
-}
-
-// Most is the most calls that were ever in hand.
-func (s *Store) Most() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.Slots.Most()
-}
-
-// Slow has the slots be so many times slower than they are.
-func (s *Store) Slow(times float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.advance()
-	s.Slots.Slow(s.Now(), times)
-	s.arm()
 }
 
 // begin puts a call into the slots. A call that nobody waits for any more stays in them until it is done.
@@ -76,7 +52,6 @@
 		s.Began(id, s.Slots.InHand())
 	}
 	if s.Fall.See(s.Now(), s.Slots.InHand()) {
-		s.falls++
 		for id := range s.hand {
 			s.Slots.Drop(id)
 			s.end(id, "ERR")
