Settings of other customers start and are served: halt, free value, no wait, no hint

A node's log has the one line 'settings.FamilyInfo.Halt: the agent has no command that stops a run; only "off" can be served' (config.go, checkSettings). With that line out of the way requests there carry no wait and no cost: each would have been answered 'field wait: want a whole number' (message.go, parseTry), so the next failure was behind the first. Ruled out: anything in decide; it takes Halt and Advert as they come, but would wait for stops that nobody carries out.

Unknown words and impossible values still end the start with the key. A request stamped before the clock was set back is no longer taken for one from the future.

--- a/internal/msgpackrpc/message.go
+++ b/internal/msgpackrpc/message.go
@@ -185,7 +185,11 @@
 	return v
 }
 
+// number reads a number that may be absent: 0.
 func (f *fields) number(field int, most float64) float64 {
+	if f.values[field] == nil {
+		return 0
+	}
 	v, err := strconv.ParseFloat(string(f.values[field]), 64)
 	if err != nil || !(v >= 0 && v < most) {
 		f.fail(field, fmt.Sprintf("a number from 0 to under %g", most))
@@ -242,7 +246,9 @@
 	}
 	t.ID = f.hex(fieldID, idDigits, idDigits)
 	t.At = time.Duration(f.whole(fieldAt, 0, maxAt)) * time.Millisecond
-	t.Wait = time.Duration(f.whole(fieldWait, 0, maxWait.Milliseconds())) * time.Millisecond
+	if f.values[fieldWait] != nil {
+		t.Wait = time.Duration(f.whole(fieldWait, 0, maxWait.Milliseconds())) * time.Millisecond
+	}
 	t.Caller = int(f.whole(fieldFrom, 0, maxCaller))
 	t.Cost = time.Duration(f.number(fieldCost, maxCost) * float64(time.Millisecond))
 	if t.KB = f.number(fieldKB, maxKB); t.KB == 0 {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -69,6 +69,9 @@
 		return err
 	}
 	log.WithField("addr", front.Addr().String()).Info("listening")
+	for _, key := range c.Unused {
+		log.WithField("key", key).Info("not used: the sockets have nothing to carry it out with")
+	}
 	s := server.New(c, log)
 	if part.Fleet != nil {
 		s.Join(part.Fleet)
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -46,11 +46,17 @@
 		s.invalid(p, call, errNoOnce)
 		return
 	}
+	if at := s.clock.own(t.At); at > s.clock.now+earlyMost && t.At <= s.clock.now {
+		t.At -= s.clock.skew // stamped before the clock was set back
+	}
 	at := s.clock.own(t.At)
 	if at > s.clock.now+earlyMost || at < s.clock.now-s.lateMost() {
 		s.invalid(p, call, errAt)
 		return
 	}
+	if t.Wait == 0 {
+		t.Wait = s.cfg.Settings.Classes[class].Deadline // the site's requests do not tell
+	}
 	if t.Wait > s.mostWait {
 		s.invalid(p, call, errWait)
 		return
