A process takes its place for the next one in one step, and as soon as it found nobody

Read in internal/handover/link.go: listen removed the old socket, bound the new one and listened in three steps, with nobody there in between; and it did so only once the process served, so that a second one started before that found no file at all. Ruled out: asking again after a refusal, which only makes the gap rarer.

Change: the socket is bound and listening under a name of its own and renamed into place; a process without an older one does that at once; a lock on a file beside it lets one process look and take its place before another looks. TestTheOnlyOne forces the orders: four callers dial without a pause while the place changes hands fifty times (before: refused or not found), a call before the first accept, a look while the lock is held.

--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -10,6 +10,7 @@
 	"io/fs"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"falldeal/internal/logging"
@@ -24,6 +25,7 @@
 	batch       = 32 << 10 // bytes
 	dialTimeout = time.Second
 	acceptPause = 50 * time.Millisecond // after a failed accept
+	lockPause   = 5 * time.Millisecond  // between two looks at a lock that another process holds
 )
 
 // Link leads to the other process.
@@ -57,25 +59,27 @@
 // newer one join there. It returns once ctx ends and all that was told is written.
 func Run(ctx context.Context, path string, serves <-chan struct{}, loop Loop, log *logging.Limiter) error {
 	g, ctx := errgroup.WithContext(ctx)
-	nc, err := net.DialTimeout("unix", path, dialTimeout)
-	if err == nil {
-		g.Go(func() error { serve(ctx, nc.(*net.UnixConn), loop, loop.Older, log); return nil })
+	older, ln, err := join(path)
+	if err != nil {
+		log.Warn("handover", "no older process to be reached, or none can join this one", err)
+	}
+	if older != nil {
+		g.Go(func() error { serve(ctx, older, loop, loop.Older, log); return nil })
 	} else {
-		if !errors.Is(err, fs.ErrNotExist) {
-			log.Warn("handover", "no older process to be reached", err) // one that ended leaves its socket
-		}
 		loop.Post(func() { loop.Older(nil) })
 	}
 	g.Go(func() error {
-		select {
-		case <-serves:
-		case <-ctx.Done():
-			return nil
-		}
-		ln, err := listen(path)
-		if err != nil {
-			log.Warn("handover", "no newer process can join", err)
-			return nil
+		if ln == nil {
+			select {
+			case <-serves:
+			case <-ctx.Done():
+				return nil
+			}
+			var err error
+			if ln, err = listen(path); err != nil {
+				log.Warn("handover", "no newer process can join", err)
+				return nil
+			}
 		}
 		defer context.AfterFunc(ctx, func() { ln.Close() })()
 		for {
@@ -97,29 +101,61 @@
 	return g.Wait()
 }
 
-// listen takes the place at path of whatever listened there before. The next process does the same, so the
-// socket must not go with this one.
+// join returns the link to the older process that listens at path, or, where there is none, the listener that has
+// taken the place: the next process finds this one though it does not serve yet. Of two that start at one time the
+// lock lets one look and take its place before the other looks. An error may come beside either.
+func join(path string) (older *net.UnixConn, ln *net.UnixListener, err error) {
+	unlock := lock(path + ".lock")
+	defer unlock()
+	nc, err := net.DialTimeout("unix", path, dialTimeout)
+	if err == nil {
+		return nc.(*net.UnixConn), nil, nil
+	}
+	ln, listenErr := listen(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		err = nil // a process that has ended leaves its socket
+	}
+	return nil, ln, errors.Join(err, listenErr)
+}
+
+// lock waits until no other process holds the lock, for as long as a dial may take: one that stands still must not keep
+// this one from serving. A process that ends gives it back.
+func lock(path string) (unlock func()) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return func() {} // listening there fails as well, and says so
+	}
+	for until := time.Now().Add(2 * dialTimeout); syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) != nil; {
+		if time.Now().After(until) {
+			break
+		}
+		time.Sleep(lockPause)
+	}
+	return func() { f.Close() }
+}
+
+// listen takes the place at path of whatever listened there before, in one step: whoever calls there meanwhile finds
+// the one or the other. The next process does the same, so the socket must not go with this one.
 func listen(path string) (*net.UnixListener, error) {
-	if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+	own := fmt.Sprintf("%s.%d", path, os.Getpid())
+	if err := os.Remove(own); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, fmt.Errorf("socket of the process before: %w", err)
 	}
-	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
 	if err != nil {
 		return nil, err
 	}
 	ln.SetUnlinkOnClose(false)
+	if err := os.Rename(own, path); err != nil {
+		ln.Close()
+		return nil, err
+	}
 	return ln, nil
 }
 
-// half is a connection whose writing side alone is closed: where the other process has ended, what it told last
-// may still be unread.
-type half struct{ *net.UnixConn }
-
-func (h half) Close() error { return h.CloseWrite() }
-
 func serve(ctx context.Context, nc *net.UnixConn, loop Loop, joined func(*Link), log *logging.Limiter) {
 	defer nc.Close()
-	l := &Link{outbox.New(half{nc}, outRoom)}
+	l := &Link{outbox.NewHalf(nc, outRoom)} // where the other process has ended, what it told last may still be unread
 	loop.Post(func() { joined(l) })
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, l.Close)()
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -69,20 +69,85 @@
 	}
 }
 
-// listening waits until a process listens at path. The file is there a little earlier, and who calls then is refused:
-// a machine that was busy stood still between the two, once.
+// listening waits until a process has taken its place at path. Whoever finds the file there is not refused.
 func listening(t *testing.T, path string) {
-	const accepts = "00010000" // the flag of a socket that listens; Linux
-	require.Eventually(t, func() bool {
-		text, err := os.ReadFile("/proc/net/unix")
+	require.Eventually(t, func() bool { _, err := os.Stat(path); return err == nil }, 30*time.Second, time.Millisecond)
+}
+
+// A process that is started between another's bind and listen took itself for the only one; so did one that was started
+// before the other served, and one of two that were started at the same time. The place is taken in one step, and as soon
+// as a process has found nobody there; nobody looks while another takes it.
+func TestTheOnlyOne(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	older, ln, err := join(path) // listens, though it accepts nobody yet
+	require.NoError(t, err)
+	require.Nil(t, older)
+	defer ln.Close()
+	second, none, err := join(path)
+	require.NoError(t, err)
+	require.NotNil(t, second)
+	require.Nil(t, none)
+	second.Close()
+
+	// The place changes hands while others look: nobody ever finds it empty.
+	stop, lookers := make(chan struct{}), make(chan error, 4)
+	for range cap(lookers) {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					lookers <- nil
+					return
+				default:
+				}
+				nc, err := net.Dial("unix", path)
+				if err != nil {
+					lookers <- err
+					return
+				}
+				nc.Close()
+			}
+		}()
+	}
+	var places []*net.UnixListener
+	for range 50 {
+		ln, err := listen(path)
 		require.NoError(t, err)
-		for _, line := range strings.Split(string(text), "\n") {
-			if f := strings.Fields(line); len(f) > 7 && f[7] == path && f[3] == accepts {
-				return true
+		places = append(places, ln)
+		go func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				nc.Close()
 			}
+		}()
+	}
+	close(stop)
+	for range cap(lookers) {
+		require.NoError(t, <-lookers)
+	}
+	for _, ln := range places {
+		ln.Close()
+	}
+
+	// Who looks while another holds the lock waits for it.
+	empty := filepath.Join(t.TempDir(), "s")
+	unlock := lock(empty + ".lock")
+	found := make(chan bool, 1)
+	go func() {
+		older, ln, _ := join(empty)
+		if ln != nil {
+			ln.Close()
 		}
-		return false
-	}, 30*time.Second, time.Millisecond)
+		found <- older != nil
+	}()
+	ln, err = listen(empty)
+	require.NoError(t, err)
+	defer ln.Close()
+	unlock()
+	require.True(t, <-found)
 }
 
 // Each process finds the one before it, what is told last still arrives, and the socket of one that has ended
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -15,6 +15,7 @@
 // Outbox is the writing side of a connection.
 type Outbox struct {
 	conn  net.Conn
+	half  bool // only this side is closed at the end
 	queue chan []byte
 	once  sync.Once
 	stop  chan struct{}
@@ -25,11 +26,29 @@
 	return &Outbox{conn: conn, queue: make(chan []byte, room), stop: make(chan struct{})}
 }
 
+// NewHalf returns one that closes the writing side alone, when all is written or that fails. Its owner closes the
+// connection once it has read what the peer sent meanwhile: one that is closed over unread bytes takes with it what
+// was written last.
+func NewHalf(conn net.Conn, room int) *Outbox {
+	o := New(conn, room)
+	o.half = true
+	return o
+}
+
 // Send queues b, which must not be changed any more. A peer that does not read loses the connection.
 func (o *Outbox) Send(b []byte) {
 	select {
 	case o.queue <- b:
 	default:
+		o.end()
+	}
+}
+
+// Abort closes the connection whatever waits, and whatever hangs on it.
+func (o *Outbox) Abort() { o.conn.Close() }
+
+func (o *Outbox) end() {
+	if side, ok := o.conn.(interface{ CloseWrite() error }); !o.half || !ok || side.CloseWrite() != nil {
 		o.conn.Close()
 	}
 }
@@ -38,9 +57,9 @@
 func (o *Outbox) Close() { o.once.Do(func() { close(o.stop) }) }
 
 // Run writes, several messages at a time where they wait, until Close is called or the peer fails. The
-// connection is closed when it returns.
+// connection is closed when it returns, or that side of it.
 func (o *Outbox) Run() error {
-	defer o.conn.Close()
+	defer o.end()
 	for {
 		select {
 		case b := <-o.queue:
