An agent link that is open and silent is replaced; an agent started anew is noticed

Change: a link with three samples unanswered over 2 s is given up hard (what hangs on it would be waited for 20 s); an agent far younger than it has to be is another one: its notices are asked for from the first, and runs in hand fail, as they do after a gap, once all that is kept has come. What waits is sent in one piece when a link opens, since it may be more than the outbox has room for.

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -27,6 +27,17 @@
 
 	// finish is how long a link may go on after the agent has moved to another address.
 	finish = 1500 * time.Millisecond
+
+	// A link on which nothing came for silentMost, though silentAsked samples were asked for meanwhile, leads nowhere: each
+	// is answered at once. The count is for a process that stood still, which has time passed and answers unread.
+	silentMost  = 2 * time.Second
+	silentAsked = 3
+	// greetMost is how long a link may be without its greeting: a booting agent greets once it is up, and takes a new
+	// link as well.
+	greetMost = 10 * time.Second
+
+	// restartSlack is what an agent's age, told twice, may lack though it is the same agent.
+	restartSlack = time.Second
 )
 
 // command is kept until the agent is known to have read it.
@@ -44,13 +55,21 @@
 	notice func(Notice)
 	log    *logging.Limiter
 
-	addr   string // in force
-	opens  uint64 // links opened so far
+	addr   string               // in force
+	opens  uint64               // links opened so far
+	now    func() time.Duration // the loop's clock
+	lost   func()               // tells that notices have been lost for good
 	cur    *outbox.Outbox
-	synced bool      // commands may be written
-	last   int64     // offset of the last notice read
-	seq    int64     // counts commands and samples; a sample's number is its token
-	unread []command // in order of sending
+	synced bool          // commands may be written
+	last   int64         // offset of the last notice read
+	seq    int64         // counts commands and samples; a sample's number is its token
+	unread []command     // in order of sending
+	heard  time.Duration // when the link last brought anything, or was opened
+	asked  int           // samples since then
+	greet  time.Time     // when the first greeting of this agent came; zero before that
+	age    time.Duration // of the agent at that time
+	first  bool          // no notice has come on this link yet
+	gap    bool          // the first one was not the next to that read last
 }
 
 // purpose sets the agent's jitter apart from that of other links of one server.
@@ -64,6 +83,11 @@
 	return l
 }
 
+// Watch has links replaced that are open and bring nothing. now is the loop's clock. lost is called within the loop where
+// notices are lost for good: the agent keeps the last 4,000, and none where it was started anew. What became of the
+// runs in hand is then told by nobody.
+func (l *Link) Watch(now func() time.Duration, lost func()) { l.now, l.lost = now, lost }
+
 // Move has the link opened at another address. The present one is used until that has been done.
 func (l *Link) Move(addr string) {
 	if addr == l.addr {
@@ -160,10 +184,49 @@
 		l.cur.Close() // after what it has still to write
 	}
 	l.opens++
-	l.cur, l.synced = w, false
+	l.cur, l.synced, l.first, l.gap = w, false, true, false
+	l.hears()
 	w.Send(subscribe(l.last))
 }
 
+// hears notes that the link leads somewhere.
+func (l *Link) hears() {
+	l.asked = 0
+	if l.now != nil {
+		l.heard = l.now()
+	}
+}
+
+// watch gives up a link that is open and brings nothing, for another to be opened. Without a greeting yet there is
+// nothing that it would have to bring.
+func (l *Link) watch() {
+	if l.now == nil || l.cur == nil || l.greet.IsZero() {
+		return
+	}
+	silent := l.now() - l.heard
+	if l.synced && l.asked >= silentAsked && silent >= silentMost || !l.synced && silent >= greetMost {
+		l.log.Warn("agent silent", "the link to the agent is open and brings nothing; opening another", nil)
+		l.giveUp()
+	}
+}
+
+func (l *Link) giveUp() {
+	l.cur.Abort()
+	l.cur, l.synced = nil, false
+}
+
+// greeted reports whether this is the agent that greeted before: one that is much younger than that one would be has
+// been started meanwhile, knows of no run, and numbers its notices anew.
+func (l *Link) greeted(age time.Duration) bool {
+	if l.greet.IsZero() {
+		l.greet, l.age = time.Now(), age
+	} else if age < (l.age+time.Since(l.greet))/2-restartSlack {
+		l.greet, l.age, l.last = time.Now(), age, 0
+		return false
+	}
+	return true
+}
+
 func (l *Link) closed(w *outbox.Outbox) {
 	if l.cur == w {
 		l.cur, l.synced = nil, false
@@ -175,14 +238,22 @@
 	if w != l.cur {
 		return
 	}
+	l.hears()
 	if n.Offset > 0 && (n.Kind == Outcome || n.Kind == Request || n.Kind == Aside) {
 		if n.Offset <= l.last {
 			return
 		}
-		l.last = n.Offset
+		l.gap = l.gap || l.first && n.Offset > l.last+1
+		l.first, l.last = false, n.Offset
 	}
 	switch n.Kind {
 	case Greeting:
+		if !l.greeted(n.Elapsed) {
+			l.log.Warn("agent restarted", "the agent was started anew; its runs are lost", nil)
+			l.giveUp() // the next link asks for its notices from the first
+			l.lose()
+			return
+		}
 		// All notices that were missed come before the answer to this sample. Only then is it
 		// known which of the unread commands still make sense.
 		l.sample()
@@ -206,8 +277,24 @@
 		return
 	}
 	l.synced = true
+	if l.gap {
+		l.log.Warn("agent gap", "the agent no longer has all notices; runs in hand are given up", nil)
+		l.lose()
+	}
+	var all []byte
 	for _, c := range l.unread {
-		l.cur.Send(c.line)
+		all = append(all, c.line...)
+	}
+	if len(all) > 0 {
+		l.cur.Send(all) // at once: they may be more than there is room for
+	}
+}
+
+// lose tells that nobody will tell of the runs in hand.
+func (l *Link) lose() {
+	l.gap = false
+	if l.lost != nil {
+		l.lost()
 	}
 }
 
@@ -245,10 +332,12 @@
 	if l.synced {
 		l.sample()
 	}
+	l.watch()
 }
 
 func (l *Link) sample() {
 	l.seq++
+	l.asked++
 	l.cur.Send(tokened("sample", strconv.FormatInt(l.seq, 10)))
 }
 
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -1,6 +1,9 @@
 package server
 
 import (
+	"maps"
+	"slices"
+
 	"falldeal/decide"
 	"falldeal/internal/agent"
 )
@@ -79,6 +82,16 @@
 	}
 }
 
+// runsLost ends the runs in hand, of which the agent will not tell any more. They may have had their effect.
+func (s *Server) runsLost() {
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		if r := s.requests[id]; r != nil && r.running {
+			s.stats.RunsInterrupted++
+			s.finish(r, decide.Failed, nil)
+		}
+	}
+}
+
 // commandRefused ends a run that the agent would not begin. Other refusals are about runs that have
 // ended, whose outcome is on its way.
 func (s *Server) commandRefused(n agent.Notice) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -102,6 +102,7 @@
 	s.keys.tell = s.tellPartners
 	s.clock.advance()
 	s.agent = agent.New(cfg.Agent, cfg.Seed, s.post, s.agentNotice, s.warn)
+	s.agent.Watch(func() time.Duration { return s.clock.now }, s.runsLost)
 	s.store = store.New(cfg.Store, cfg.Limits.StoreSockets(), cfg.Seed, store.Loop{Post: s.post, Now: func() time.Duration { return s.clock.now },
 		Deadlines: s.deadlines}, s.callEnded, s.warn)
 	s.announcer = announce.New(cfg.Announce, cfg.Name, s.warn)
