--- a/cmd/falldeal/main_test.go
+++ b/cmd/falldeal/main_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -107,6 +108,57 @@
 	}
 }
 
+// SIGTERM comes while the process is busy with other signals, here over a configuration that nobody finishes writing: it is
+// obeyed once that is done. It was dropped, as the others had filled the channel, and the process was killed with all it had.
+func TestTermAgainstOtherSignals(t *testing.T) {
+	text, err := os.ReadFile(sample)
+	require.NoError(t, err)
+	agent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer agent.Close()
+	text = []byte(strings.NewReplacer("127.0.0.1:4400", agent.Addr().String(), ":5050", ":0", `"stop_ms": 3200`, `"stop_ms": 100`).Replace(string(text)))
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	t.Setenv("GW_CONFIG", path)
+	t.Setenv("GW_LISTEN", "")
+	t.Setenv("GW_NAME", "")
+	c, err := config.Load("")
+	require.NoError(t, err)
+	log, _ := test.NewNullLogger()
+	over := make(chan error, 1)
+	go func() { over <- process.Serve(c, "", log, process.Part{}) }()
+	nc, err := agent.Accept() // signals are taken by then
+	require.NoError(t, err)
+	defer nc.Close()
+	require.NoError(t, os.Remove(path))
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	seen := make(chan os.Signal, 10)
+	signal.Notify(seen, syscall.SIGHUP, syscall.SIGUSR1)
+	defer signal.Stop(seen)
+	send := func(sig syscall.Signal) {
+		require.NoError(t, syscall.Kill(os.Getpid(), sig))
+		require.Equal(t, sig, <-seen) // it has been handed out
+	}
+	send(syscall.SIGHUP)
+	half, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the file is being read
+	require.NoError(t, err)
+	for range 10 {
+		send(syscall.SIGUSR1)
+	}
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM)
+	defer signal.Stop(term)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-term
+	require.NoError(t, half.Close())
+	select {
+	case err := <-over:
+		require.NoError(t, err)
+	case <-time.After(30 * time.Second):
+		t.Fatal("SIGTERM was lost")
+	}
+}
+
 // onError hands over what was wrong with a configuration.
 type onError chan string
 
--- a/decide/api.go
+++ b/decide/api.go
@@ -181,7 +181,7 @@
 	Earlier  RequestID     // Request: the kept request that this one repeats; 0 = none
 	Rank     float64       // Request: place among all requests by worth, 0 to 1
 	Due      time.Duration // Request: when its caller gives up; 0 = not told
-	Waited   time.Duration // Request: time since it reached the machine
+	Waited   time.Duration // Request: time since it reached the machine; Notice: since it came
 	Standing Standing      // Request
 	Age      time.Duration // Request: time from the first try of its caller to this one; 0 = none, or not known
 	Spread   time.Duration // Request: by how much advice to stay away is longer, for callers not to come back at one instant
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -733,7 +733,7 @@
 	if c.draining {
 		return
 	}
-	c.draining, c.noticeAt, c.stopAt = true, c.now, e.At
+	c.draining, c.noticeAt, c.stopAt = true, c.now-e.Waited, e.At
 	ids := make([]RequestID, 0, len(c.jobs))
 	for id := range c.jobs {
 		ids = append(ids, id)
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -56,6 +56,9 @@
 	a.silent = true
 }
 
+// Silent reports whether reports have ended.
+func (a *Announcer) Silent() bool { return a.silent }
+
 func (a *Announcer) tell() {
 	if a.silent {
 		return
@@ -67,6 +70,17 @@
 	a.reports <- a.now
 }
 
+// send sends a report. A first error tells of an earlier one that found nobody there, and takes the place of this one:
+// the last word of a server that leaves would come late for it.
+func (a *Announcer) send(conn net.Conn, r report) (err error) {
+	for range 2 {
+		if _, err = fmt.Fprintf(conn, "announce %s %t", a.name, r.accepting); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // Run reports until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
 	var now report
@@ -102,8 +116,7 @@
 			}
 			conn = c
 		}
-		// An error here tells of an earlier report that found nobody there. The next one may.
-		if _, err := fmt.Fprintf(conn, "announce %s %t", a.name, now.accepting); err != nil {
+		if err := a.send(conn, now); err != nil {
 			a.log.Warn("announce", "report not sent", err)
 		}
 	}
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -56,3 +56,25 @@
 	require.Empty(t, (<-a.reports).addr)
 	require.Empty(t, a.reports)
 }
+
+// The service was down for a report, and the error of that takes the place of the next: the last word of a server that
+// leaves, which then came 200 ms late.
+func TestReportAgainstAServiceThatWasDown(t *testing.T) {
+	service, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := service.LocalAddr().String()
+	conn, err := net.Dial("udp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, service.Close())
+	a := New(addr, "n3", nil)
+	require.NoError(t, a.send(conn, report{addr, true})) // nobody is there; the machine says so with the next
+	service, err = net.ListenPacket("udp", addr)
+	require.NoError(t, err)
+	defer service.Close()
+	require.NoError(t, a.send(conn, report{addr, false}))
+	b := make([]byte, 100)
+	n, _, err := service.ReadFrom(b)
+	require.NoError(t, err)
+	require.Equal(t, "announce n3 false", string(b[:n]))
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -77,6 +77,7 @@
 	Limits       Limits
 	Settings     decide.Settings
 	Classes      []string // names, in the order of Settings.Classes
+	Tenants      []string // names, in the order of Settings.Tenants
 	Gauges       []string // names, in the order in which the agent reports them
 	Unused       []string // keys of the settings that allow what the sockets have no message for
 
@@ -128,6 +129,9 @@
 	for _, l := range set.objects("Lanes") {
 		c.Classes = append(c.Classes, l.text("Name"))
 	}
+	for _, t := range set.objects("Tenants") {
+		c.Tenants = append(c.Tenants, t.text("Name"))
+	}
 	if name := env(envName); name != "" {
 		c.Name = name
 	}
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -1,8 +1,13 @@
 package msgpackrpc
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"falldeal/internal/outbox"
@@ -13,21 +18,35 @@
 	maxOpen = 32              // requests open on one connection
 	outRoom = 4 * maxOpen     // messages that wait to be written on one connection
 	within  = 2 * time.Second // for the first message of a connection, and for the rest of one that has begun
+
+	// Of a peer from which nothing more is taken some bytes are still read, and for a moment, until it has read what was
+	// written to it and closes: closing over unread bytes would take the last answers along. The moment is the
+	// protocol's for requests that cross a close.
+	lingerMost  = 50 * time.Millisecond
+	lingerBytes = 1 << 20
 )
 
+// errFinished says that nothing more is to be read.
+var errFinished = errors.New("no more is read")
+
 // conn is one connection of a front end. Its reader and its outbox run in goroutines of their own;
-// the server's loop calls Answer, Closing and Close, none of which blocks.
+// the server's loop calls Answer, Closing, Finish and Close, none of which blocks.
 type conn struct {
 	*outbox.Outbox
-	net net.Conn
+	net      net.Conn
+	limited  bool // the reader's: a read may take so long only
+	finish   atomic.Bool
+	readDone chan struct{} // closed when nothing more is read
 }
 
-func newConn(nc net.Conn) *conn { return &conn{outbox.New(nc, outRoom), nc} }
+func newConn(nc net.Conn) *conn {
+	return &conn{Outbox: outbox.NewHalf(nc, outRoom), net: nc, readDone: make(chan struct{})}
+}
 
 // read hands over messages until the connection ends. Broken framing ends it, and so does a message that
 // does not come to its end: a connection that says nothing takes the place of a front end.
 func (c *conn) read(s *server.Server) error {
-	in := frames{from: c.net, begun: c.limit, late: true} // the first message has a limit from the start
+	in := frames{from: c, begun: c.limit, late: true} // the first message has a limit from the start
 	if err := c.limit(true); err != nil {
 		return err
 	}
@@ -67,11 +86,88 @@
 
 // limit sets or lifts the limit on the time that a read may take.
 func (c *conn) limit(on bool) error {
+	c.limited = on
 	var until time.Time
 	if on {
 		until = time.Now().Add(within)
 	}
-	return c.net.SetReadDeadline(until)
+	err := c.net.SetReadDeadline(until)
+	if c.finish.Load() { // it may have been set in between
+		err = c.net.SetReadDeadline(passed)
+	}
+	return err
+}
+
+// passed is a time that is over.
+var passed = time.Unix(1, 0)
+
+// Finish implements server.Peer.
+func (c *conn) Finish() {
+	c.finish.Store(true)
+	_ = c.net.SetReadDeadline(passed) // a connection that is closed has no reader any more
+}
+
+// Read implements io.Reader for the frames. A limit that has passed counts only where nothing is there to be read:
+// after a machine stood still, or while this process is behind, what came in time may wait beside it.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.net.Read(b)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	n, err = c.readNow(b)
+	if n > 0 {
+		return n, c.limit(c.limited)
+	}
+	if err == nil && c.finish.Load() {
+		return 0, errFinished
+	}
+	if err == nil {
+		err = os.ErrDeadlineExceeded
+	}
+	return 0, err
+}
+
+// readNow reads what is there, and returns 0 and no error where that is nothing.
+func (c *conn) readNow(b []byte) (n int, err error) {
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		for {
+			n, readErr = syscall.Read(int(fd), b)
+			if !errors.Is(readErr, syscall.EINTR) {
+				return true
+			}
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(readErr, syscall.EAGAIN):
+		return 0, nil
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: readErr}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// linger reads on, for nobody, until the peer has closed its side or enough has come.
+func (c *conn) linger() {
+	if c.net.SetReadDeadline(time.Time{}) == nil {
+		_, _ = io.CopyN(io.Discard, c.net, lingerBytes)
+	}
+	close(c.readDone)
 }
 
 // Answer implements server.Peer.
--- /dev/null
+++ b/internal/msgpackrpc/crossings_test.go
@@ -0,0 +1,327 @@
+package msgpackrpc
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"falldeal/internal/logging"
+	"falldeal/internal/server"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// Events that cross, each in both orders; docs/crossings.md lists them. A step of a stand-in is held until the other
+// event is known to have happened, so that no test goes by luck.
+
+// never has no connection told to go for being idle, however slow the machine is.
+var never = []string{`"IdleUs": 30000000`, `"IdleUs": 0`}
+
+func appendCancel(call uint32) []byte {
+	b := appendText(append(appendArray(nil, 3), kindNotification), methodCancel)
+	return appendUint(appendArray(b, 1), call)
+}
+
+// What can't be read, or does not end, costs its own connection; what was read from that before is still answered. The
+// connection was closed at once: a request that had been read was lost, and unread bytes took along answers that had
+// been written.
+func TestBrokenFrameAgainstAnAnswer(t *testing.T) {
+	t.Parallel()
+	garbage := bytes.Repeat([]byte{0xc1}, 100<<10)
+	for name, broken := range map[string]func(f *front) []byte{
+		"garbage":     func(*front) []byte { return garbage },
+		"half frame":  func(f *front) []byte { _, b := f.try("preview", "half"); return b[:len(b)-1] },
+		"same number": func(f *front) []byte { f.next = 0; _, b := f.try("preview", "twice"); return b },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := start(t, never...)
+			f := p.dial()
+			run := f.send("preview", "x")
+			p.expect("launch", run)
+			f.write(broken(f))
+			if name != "half frame" { // nothing after it is taken, but for what makes it whole
+				f.write(appendProbe(7, nil))
+			}
+			p.quiet() // the server has long had it
+			p.tell("outcome", run, "success", []byte("x"))
+			f.expectAnswer(1, "x")
+			f.expectEnd()
+		})
+		if name == "same number" {
+			continue // with the first answered, the number is free
+		}
+		t.Run(name+" after the answer", func(t *testing.T) {
+			t.Parallel()
+			p := start(t, never...)
+			f := p.dial()
+			run := f.send("preview", "x")
+			p.expect("launch", run)
+			p.tell("outcome", run, "success", []byte("x"))
+			f.expectAnswer(1, "x")
+			f.write(broken(f))
+			f.expectEnd()
+		})
+	}
+}
+
+// pipe is a connection over loopback, its near end as the server has it.
+func pipe(t *testing.T) (*conn, net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	near, err := ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return newConn(near), far
+}
+
+// arrived waits until so many bytes wait in the socket.
+func arrived(t *testing.T, c *conn, n int) {
+	raw, err := c.net.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		peeked := 0
+		b := make([]byte, n)
+		require.NoError(t, raw.Control(func(fd uintptr) {
+			peeked, _, _ = syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}))
+		return peeked == n
+	}, patience, time.Millisecond)
+}
+
+// A limit on reading passes while the machine stands still, or while a connection is to be closed as idle, and what came
+// before waits in the socket: it is read. The limit went first, and the connection with it.
+func TestLimitAgainstWhatHasCome(t *testing.T) {
+	t.Parallel()
+	b := make([]byte, 10)
+	for name, ends := range map[string]struct {
+		by  func(c *conn)
+		err error
+	}{
+		"idle close": {func(c *conn) { c.Finish() }, errFinished},
+		"pause":      {func(c *conn) { require.NoError(t, c.net.SetReadDeadline(passed)) }, os.ErrDeadlineExceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, far := pipe(t)
+			require.NoError(t, c.limit(true))
+			_, err := far.Write([]byte("abc"))
+			require.NoError(t, err)
+			arrived(t, c, 3)
+			ends.by(c)
+			n, err := c.Read(b)
+			require.NoError(t, err)
+			require.Equal(t, "abc", string(b[:n]))
+			ends.by(c) // and nothing has come since
+			_, err = c.Read(b)
+			require.ErrorIs(t, err, ends.err)
+
+			c, far = pipe(t)
+			ends.by(c)
+			far.Close() // the other order: the end of the connection is no less an end
+			require.Eventually(t, func() bool {
+				_, err := c.Read(b)
+				return err == io.EOF
+			}, patience, time.Millisecond)
+		})
+	}
+}
+
+// holder is a peer of the server whose answer to a health check holds the loop.
+type holder struct {
+	held, release chan struct{}
+}
+
+func (h *holder) Answer(uint32, server.Answer) { h.held <- struct{}{}; <-h.release }
+func (h *holder) Closing()                     {}
+func (h *holder) Finish()                      {}
+func (h *holder) Close()                       {}
+func (h *holder) MostOpen() int                { return maxOpen }
+
+// quietPeer is one that says nothing.
+type quietPeer struct{ holder }
+
+func (*quietPeer) Answer(uint32, server.Answer) {}
+
+// A connection that is idle for longest makes room for another while a request on it has been read, and waits for the
+// loop: it is answered before the connection goes. It was passed over, and lost.
+func TestRoomIsMadeAgainstARequest(t *testing.T) {
+	t.Parallel()
+	p := start(t, `"sockets": 1024`, `"sockets": 64`, `"IdleUs": 30000000`, `"IdleUs": 0`)
+	f := p.dial()
+	f.write(appendProbe(1, nil))
+	f.expectAnswer(1, "%!s(bool=true)")
+	f.next = 1
+	h := &holder{make(chan struct{}), make(chan struct{})}
+	p.server.Opened(h)
+	p.server.Probe(h, 1, false)
+	<-h.held
+	for range 64/2 - 8 - 2 { // as many as there may be, all used later than f
+		q := &quietPeer{}
+		p.server.Opened(q)
+		p.server.Probe(q, 1, false)
+	}
+	p.server.Opened(&quietPeer{}) // takes the place of f
+	run := f.send("preview", "x")
+	h.release <- struct{}{}
+	p.expect("launch", run)
+	p.tell("outcome", run, "success", []byte("x"))
+	f.expectAnswer(2, "x")
+	f.expectEnd()
+}
+
+// A drain closes the listener while the machine has accepted a connection that the server has not, with a request on
+// it: it is read and refused. It was reset.
+func TestShutAgainstAConnectionNotAcceptedYet(t *testing.T) {
+	t.Parallel()
+	for _, early := range []bool{true, false} {
+		t.Run(fmt.Sprint("accepted before: ", early), func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer ln.Close()
+			most := 1
+			if early {
+				most = 2
+			}
+			p := startFew(t, ln, "", most, `"stop_ms": 3200`, `"stop_ms": 3000000`, `"StopSendingWithinUs": 2500000`, `"StopSendingWithinUs": 1`)
+			p.greet <- "steady"
+			p.expect("subscribe", "")
+			p.quiet() // the agent is up
+			f := p.dial()
+			run := f.send("preview", "x")
+			p.expect("launch", run) // the only place is taken
+			g := p.dial()
+			if early {
+				g.write(appendProbe(1, nil))
+				g.expectAnswer(1, "%!s(bool=true)")
+				g.next = 1
+			}
+			late := []string{"at", fmt.Sprint(time.Now().Add(500 * time.Millisecond).UnixMilli())} // after the notice
+			if !early {
+				g.send("preview", "y", late...)
+			}
+			p.server.Drain()
+			f.expectClosing()
+			p.quiet() // the listener is shut
+			if early {
+				g.send("preview", "y", late...)
+			}
+			p.tell("outcome", run, "success", []byte("x"))
+			f.expectAnswer(1, "x")
+			f.net.Close()
+			g.expectClosing()
+			g.expectAnswer(int(g.next), errRefused)
+			g.net.Close()
+			require.NoError(t, await(p, p.over, "end of the server"))
+			require.Empty(t, p.commands)
+		})
+	}
+}
+
+// failing is a listener whose first Accept finds no descriptor free.
+type failing struct {
+	*net.TCPListener
+	failed bool
+}
+
+func (l *failing) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.TCPListener.Accept()
+}
+
+// With all descriptors used up the next connection waits; the server goes on.
+func TestNoDescriptorAgainstAConnection(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	p := start(t, never...)
+	log, _ := test.NewNullLogger()
+	front := newFront(&failing{TCPListener: ln.(*net.TCPListener)}, 4, logging.NewLimiter(log))
+	g, ctx := errgroup.WithContext(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- front.Serve(ctx, g, p.server) }()
+	p.addr = ln.Addr().String()
+	f := p.dial()
+	f.write(appendProbe(1, nil))
+	f.expectAnswer(1, "%!s(bool=true)")
+	require.NoError(t, front.Close())
+	require.NoError(t, await(p, done, "end of the listener"))
+}
+
+// A front end gives up, or goes, before or after its run's end is told: nothing more is owed, nothing runs twice, and the
+// next request is served.
+func TestGivenUpAgainstAnOutcome(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct{ first, second string }{
+		"cancel, outcome": {"cancel", "outcome"}, "outcome, cancel": {"outcome", "cancel"},
+		"leave, outcome": {"leave", "outcome"}, "outcome, leave": {"outcome", "leave"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := start(t, never...)
+			f := p.dial()
+			once := []string{"once", "ab12"}
+			run := f.send("licence-order", "order", once...)
+			p.expect("launch", run)
+			for _, step := range []string{c.first, c.second} {
+				switch step {
+				case "cancel":
+					f.write(appendCancel(1))
+				case "leave":
+					f.net.Close()
+				case "outcome":
+					p.tell("outcome", run, "success", []byte("done"))
+				}
+				p.quiet()
+			}
+			other := p.dial()
+			other.send("licence-order", "order", once...) // the order ran: its result answers
+			other.expectAnswer(1, "done")
+			p.quiet()
+		})
+	}
+}
+
+// The agent is started anew while a run is in hand: nobody will tell of its end. It is answered as failed at once, and its
+// order is not run again. Before, the link was deaf to all that the new agent told, whose numbers begin at 1 again.
+func TestAgentRestartsAgainstAnOutcome(t *testing.T) {
+	t.Parallel()
+	p := start(t, never...)
+	f := p.dial()
+	for range 3 { // so that numbers have gone on
+		id := f.send("preview", "x")
+		p.expect("launch", id)
+		p.tell("outcome", id, "success", []byte("x"))
+		f.expectAnswer(int(f.next), "x")
+	}
+	run := f.send("licence-order", "order", "once", "ab12")
+	p.expect("launch", run)
+	p.cut()
+	require.Equal(t, 3, p.expect("subscribe", "").Offset)
+	p.greet <- "booting" // and just started
+	f.expectAnswer(4, errFailed)
+	require.Zero(t, p.expect("subscribe", "").Offset)
+	p.offset = 0
+	p.greet <- "booting"
+	f.send("licence-order", "order", "once", "ab12")
+	f.expectAnswer(5, errFailed) // it may have had its effect
+	next := f.send("preview", "y")
+	p.expect("launch", next)
+	p.tell("outcome", next, "success", []byte("y"))
+	f.expectAnswer(6, "y")
+}
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -7,12 +7,15 @@
 	"io"
 	"net"
 	"os"
+	"sync"
+	"syscall"
 	"time"
 
 	"falldeal/internal/logging"
 	"falldeal/internal/server"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 )
 
 const acceptPause = 50 * time.Millisecond // after a failed accept
@@ -22,6 +25,13 @@
 	ln    net.Listener
 	slots chan struct{} // one for each connection that is open
 	log   *logging.Limiter
+
+	once sync.Once
+	shut chan struct{} // closed when no more connections are to come
+}
+
+func newFront(ln net.Listener, most int, log *logging.Limiter) *Front {
+	return &Front{ln: ln, slots: make(chan struct{}, most), log: log, shut: make(chan struct{})}
 }
 
 // Listen opens a Front on addr that accepts up to most connections at a time; further ones wait.
@@ -30,7 +40,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &Front{ln: ln, slots: make(chan struct{}, most), log: log}, nil
+	return newFront(ln, most, log), nil
 }
 
 // Inherit opens a Front on a socket that listens already and was left open for this process.
@@ -41,21 +51,68 @@
 	if err != nil {
 		return nil, fmt.Errorf("inherited socket %d: %w", fd, err)
 	}
-	return &Front{ln: ln, slots: make(chan struct{}, most), log: log}, nil
+	return newFront(ln, most, log), nil
 }
 
 // Addr is where the Front listens.
 func (f *Front) Addr() net.Addr { return f.ln.Addr() }
 
-// Close closes the listener.
-func (f *Front) Close() error { return f.ln.Close() }
+// Close has Serve accept what the machine has accepted already, and then close the listener.
+func (f *Front) Close() error {
+	f.once.Do(func() { close(f.shut) })
+	if ln, ok := f.ln.(interface{ SetDeadline(time.Time) error }); ok {
+		return ln.SetDeadline(passed) // no Accept waits any more
+	}
+	return f.ln.Close()
+}
+
+// waits reports whether a connection waits to be accepted.
+func (f *Front) waits() (waits bool) {
+	sc, ok := f.ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		waits = n > 0 && err == nil
+	})
+	return waits && err == nil
+}
+
+// rest accepts what waits already: a request may have been written to it, and would be lost with the listener.
+func (f *Front) rest(ctx context.Context, g *errgroup.Group, s *server.Server) {
+	ln, ok := f.ln.(interface{ SetDeadline(time.Time) error })
+	if !ok || ln.SetDeadline(time.Time{}) != nil {
+		return
+	}
+	for f.waits() {
+		select {
+		case f.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		nc, err := f.ln.Accept()
+		if err != nil {
+			return
+		}
+		f.start(ctx, g, newConn(nc), s)
+	}
+}
 
 // Serve implements server.Front.
 func (f *Front) Serve(ctx context.Context, g *errgroup.Group, s *server.Server) error {
+	defer f.ln.Close()
 	defer context.AfterFunc(ctx, func() { f.ln.Close() })()
 	for {
 		select {
 		case f.slots <- struct{}{}:
+		case <-f.shut:
+			f.rest(ctx, g, s)
+			return nil
 		case <-ctx.Done():
 			return nil
 		}
@@ -68,6 +125,9 @@
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // it is being shut
+		}
 		// Out of descriptors, or the peer has gone: neither ends the service.
 		f.log.Warn("accept", "front end not accepted", err)
 		select {
@@ -81,17 +141,27 @@
 	s.Opened(c) // before Serve returns: then no connection is left that the server does not know
 	g.Go(func() error {
 		defer context.AfterFunc(ctx, c.Close)()
-		_ = c.Run() // the reader tells of a connection that broke
+		if c.Run() == nil { // the reader tells of a connection that broke
+			select {
+			case <-c.readDone:
+			case <-time.After(lingerMost):
+			}
+		}
+		c.net.Close()
 		<-f.slots
 		return nil
 	})
 	g.Go(func() error {
 		err := c.read(s)
-		if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, errFinished) {
 			f.log.Warn("front end", "connection of a front end ended", err)
 		}
-		c.Close()
-		s.Closed(c, endOf(err))
+		end := endOf(err)
+		if end == server.Left {
+			c.Close()
+		}
+		s.Closed(c, end)
+		c.linger()
 		return nil
 	})
 }
@@ -100,6 +170,8 @@
 func endOf(err error) server.End {
 	var broken net.Error
 	switch {
+	case errors.Is(err, errFinished):
+		return server.Finished
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return server.Silent
 	case errors.Is(err, io.EOF), errors.As(err, &broken):
--- a/internal/msgpackrpc/message.go
+++ b/internal/msgpackrpc/message.go
@@ -135,10 +135,12 @@
 	fieldOnce
 	fieldKey
 	fieldDeep
+	fieldTenant
+	fieldRetry
 	fieldCount
 )
 
-var fieldNames = [fieldCount]string{"id", "at", "wait", "from", "cost", "kb", "rank", "once", "key", "deep"}
+var fieldNames = [fieldCount]string{"id", "at", "wait", "from", "cost", "kb", "rank", "once", "key", "deep", "tenant", "retry"}
 
 // fields is a map of strings to strings that keeps the first error, which names the field. The last value of a
 // name counts, and other names are passed over.
@@ -258,6 +260,10 @@
 	if f.values[fieldOnce] != nil {
 		t.Once = f.hex(fieldOnce, 1, onceMost)
 	}
+	if t.Tenant = string(f.values[fieldTenant]); len(t.Tenant) > maxText {
+		f.fail(fieldTenant, fmt.Sprintf("up to %d bytes", maxText))
+	}
+	t.Repeat = string(f.values[fieldRetry]) == "1"
 	if t.Key = string(f.values[fieldKey]); len(t.Key) > maxText {
 		f.fail(fieldKey, fmt.Sprintf("up to %d bytes", maxText))
 	}
--- a/internal/msgpackrpc/peers_test.go
+++ b/internal/msgpackrpc/peers_test.go
@@ -75,6 +75,11 @@
 
 // startLate runs one whose agent does not greet yet.
 func startLate(t *testing.T, ln net.Listener, path string, oldNew ...string) *peers {
+	return startFew(t, ln, path, 0, oldNew...)
+}
+
+// startFew runs one that accepts up to most connections at a time; 0 = as many as its configuration lets it.
+func startFew(t *testing.T, ln net.Listener, path string, most int, oldNew ...string) *peers {
 	p := &peers{T: t, over: make(chan error, 1), commands: make(chan command, 100), samples: make(chan struct{}),
 		greet: make(chan string, 1), calls: make(chan storeCall, 10)}
 	text, err := os.ReadFile("../config/testdata/config.json")
@@ -96,7 +101,10 @@
 	defer file.Close()
 	fd, err := syscall.Dup(int(file.Fd()))
 	require.NoError(t, err)
-	front, err := Inherit(uintptr(fd), cfg.Limits.FrontSockets(), logging.NewLimiter(log))
+	if most == 0 {
+		most = cfg.Limits.FrontSockets()
+	}
+	front, err := Inherit(uintptr(fd), most, logging.NewLimiter(log))
 	require.NoError(t, err)
 	p.addr = front.Addr().String()
 	p.server = server.New(cfg, log)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -62,8 +62,10 @@
 func Serve(c *config.Config, path string, log *logrus.Logger, part Part) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Limits.Cores)), 1))
 	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB<<20)))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	// A signal that finds its channel full is dropped: one to leave must not be because others wait.
+	signals, leave := make(chan os.Signal, 4), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
+	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
 	front, err := listen(c, logging.NewLimiter(log))
 	if err != nil {
 		return err
@@ -124,9 +126,9 @@
 					inForce = next
 				}
 				s.Reload(next, err)
-			default:
-				s.Drain()
 			}
+		case <-leave:
+			s.Drain()
 		case <-ended:
 			ended, late = nil, time.After(server.LastWrites)
 		case err := <-over:
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -13,6 +13,7 @@
 var (
 	errAt         = errors.New("field at: longer ago than any deadline, or ahead of the clock")
 	errWait       = errors.New("field wait: longer than any deadline")
+	errTenant     = errors.New("field tenant: not one of this site")
 	errNoOnce     = errors.New("field once: missing in a class whose requests must run once")
 	errOtherOrder = errors.New("field once: known with another body")
 )
@@ -35,12 +36,28 @@
 	}
 }
 
+// nameTenants has the tenants of the configuration known by their places. Front ends hear late of a new one: what still
+// comes for a tenant that is gone counts with the first.
+func (s *Server) nameTenants() {
+	for name := range s.tenants {
+		s.tenants[name] = 0
+	}
+	for i, name := range s.cfg.Tenants {
+		s.tenants[name] = i
+	}
+}
+
 func (s *Server) admit(p Peer, call uint32, t Try) {
 	class, known := s.classes[t.Class]
 	if !known {
 		s.invalid(p, call, fmt.Errorf("method: unknown class %.40q", t.Class))
 		return
 	}
+	tenant, known := s.tenants[t.Tenant]
+	if !known && len(s.cfg.Tenants) > 0 && t.Tenant != "" {
+		s.invalid(p, call, errTenant)
+		return
+	}
 	keyed := s.cfg.Settings.Classes[class].Safety == decide.Keyed
 	if keyed && t.Once == "" {
 		s.invalid(p, call, errNoOnce)
@@ -67,7 +84,7 @@
 		p.Answer(call, Answer{Kind: Refused})
 		return
 	}
-	r := &request{id: s.lastID + 1, try: t, class: class, peer: p, call: call}
+	r := &request{id: s.lastID + 1, try: t, class: class, tenant: tenant, peer: p, call: call}
 	r.window = s.cfg.Settings.Classes[class].KeyWindow
 	s.lastID = r.id
 	s.requests[r.id], s.byWire[t.ID] = r, r
@@ -85,7 +102,7 @@
 // enter puts r before the controller.
 func (s *Server) enter(r *request) {
 	t := &r.try
-	e := decide.Event{Kind: decide.Request, ID: r.id, Class: r.class, Caller: t.Caller, MemoryKB: t.KB, Hint: t.Cost,
+	e := decide.Event{Kind: decide.Request, ID: r.id, Class: r.class, Tenant: r.tenant, Repeat: t.Repeat, Caller: t.Caller, MemoryKB: t.KB, Hint: t.Cost,
 		HasKey: t.Key != "", Rank: t.Rank, Due: s.due(r), Waited: max(s.clock.now-s.clock.own(t.At), 0)}
 	if s.cfg.Settings.Classes[r.class].Safety == decide.Keyed {
 		if s.keys.conflicts(r) {
--- /dev/null
+++ b/internal/server/crossings_test.go
@@ -0,0 +1,226 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"falldeal/decide"
+	"falldeal/internal/agent"
+	"falldeal/internal/handover"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Events that cross in one turn of the loop, in both orders; docs/crossings.md lists them.
+
+// up is a server whose agent is up, and a front end on it.
+func up(t *testing.T) (s *Server, p *peer, do func()) {
+	s, do = idle(t)
+	s.greeted(agent.Notice{Kind: agent.Greeting, Result: agent.Steady})
+	p = &peer{}
+	s.Opened(p)
+	do()
+	s.step()
+	return s, p, do
+}
+
+func order(s *Server, id string) Try {
+	return Try{ID: id, Once: "k", Class: "licence-order", At: s.clock.now, Wait: 3 * time.Second, KB: 1}
+}
+
+// The first try of an order goes in the turn in which a third comes, while a second waits for the first: the third was
+// taken for a first one beside the second, and both ran.
+func TestFirstTryGoesAgainstAThird(t *testing.T) {
+	for _, goes := range []string{"before the third", "after the third"} {
+		t.Run(goes, func(t *testing.T) {
+			s, p, do := up(t)
+			s.Submit(p, 1, order(s, "a"))
+			s.Submit(p, 2, order(s, "b"))
+			do()
+			if goes == "before the third" {
+				s.Cancel(p, 1)
+			}
+			q := &peer{}
+			s.Opened(q)
+			s.Submit(q, 1, order(s, "c"))
+			if goes == "after the third" {
+				s.Cancel(p, 1)
+			}
+			do()
+			s.step()
+			require.EqualValues(t, 1, s.stats.Runs)
+			for _, id := range []string{"b", "c"} {
+				if r := s.byWire[id]; r != nil && r.running {
+					s.finish(r, decide.OK, []byte("done"))
+				}
+			}
+			s.step()
+			require.Equal(t, []any{Served}, p.got)
+			require.Equal(t, []any{Served}, q.got)
+			require.EqualValues(t, 1, s.stats.Runs)
+		})
+	}
+}
+
+// A request is read just as the loop of a drain ends: it is still answered, before the connection is closed. It was left
+// in the input, and lost. One that comes later finds the listener closed: that is some time before the end.
+func TestLastReadAgainstTheEnd(t *testing.T) {
+	s, p, do := up(t)
+	s.cfg.Stop = time.Second // shorter than the time in which arrivals may be run
+	s.Drain()
+	s.Drain() // a second SIGTERM
+	do()
+	s.step()
+	require.Equal(t, s.drain.stopAt-lastComers, s.drain.shutAt)
+	s.Submit(p, 1, Try{ID: "a", Class: "preview", At: s.clock.now, Wait: 3 * time.Second, KB: 1})
+	do()
+	s.step()
+	require.True(t, s.byWire["a"].running)
+	s.clock.now = s.drain.stopAt
+	require.True(t, s.finished())
+	s.Submit(p, 2, Try{ID: "b", Class: "preview", At: s.clock.now, Wait: 3 * time.Second, KB: 1})
+	s.leave()
+	require.ElementsMatch(t, []any{"closing", Failed, Refused, "close"}, p.got)
+	require.Equal(t, "close", p.got[3])
+}
+
+// SIGTERM comes while the agent boots: the time in which arrivals may be run counts from the notice, not from when the
+// controller heard of it.
+func TestNoticeAgainstTheAgentsStart(t *testing.T) {
+	for _, early := range []bool{true, false} {
+		s, do := idle(t)
+		s.cfg.Stop = time.Minute
+		greet := func() {
+			s.greeted(agent.Notice{Kind: agent.Greeting, Result: agent.Steady})
+			s.step()
+		}
+		if !early {
+			greet()
+		}
+		s.Drain()
+		do()
+		s.step()
+		s.clock.now += 2 * time.Second
+		if early {
+			greet()
+		}
+		p := &peer{}
+		s.Opened(p)
+		s.clock.now += s.cfg.Settings.DrainGrace - time.Second
+		s.Submit(p, 1, Try{ID: "a", Class: "preview", At: s.clock.now, Wait: 3 * time.Second, KB: 1})
+		do()
+		s.step()
+		require.Equal(t, []any{"closing", Refused}, p.got, "notice first: %v", early)
+		require.Zero(t, s.stats.Runs)
+	}
+}
+
+// A configuration with a longer time for arrivals comes during a drain: the notice was given under the old one.
+func TestReloadAgainstADrain(t *testing.T) {
+	s, _, do := up(t)
+	fresh := *s.cfg
+	fresh.Settings.DrainGrace *= 2
+	s.Drain()
+	was := s.cfg.Settings.DrainGrace
+	s.Reload(&fresh, nil)
+	do()
+	require.Equal(t, was, s.cfg.Settings.DrainGrace)
+	require.EqualValues(t, 1, s.stats.Reloads)
+}
+
+// A newer process joins while this one drains: it is to be listed, and this one must not report that it is not.
+func TestNewerJoinsAgainstADrain(t *testing.T) {
+	o := withPartner(t)
+	o.Drain()
+	o.do()
+	o.joinedNewer(o.link)
+	o.announcer.Set(false)
+	require.True(t, o.announcer.Silent())
+	o.expect("synced")
+}
+
+// The clock is set back between the stamp of a request and its reading: it is no request from the future.
+func TestClockSetBackAgainstARequest(t *testing.T) {
+	s, p, do := up(t)
+	at := time.Now()
+	s.clock.read = func() time.Time { return at }
+	s.clock.advance()
+	stamped := Try{ID: "a", Class: "preview", At: time.Duration(at.UnixNano()), Wait: 3 * time.Second, KB: 1}
+	at = at.Round(0).Add(-time.Hour)
+	s.clock.advance()
+	s.Submit(p, 1, stamped)
+	do()
+	s.step()
+	require.Empty(t, p.got)
+	require.True(t, s.byWire["a"].running)
+	stamped.ID, stamped.At = "b", stamped.At+time.Hour // one from the future is still wrong
+	s.Submit(p, 2, stamped)
+	do()
+	require.Equal(t, []any{Invalid}, p.got)
+}
+
+// All runs are lost with the agent: what waits for them is answered, once, and no order of theirs runs again.
+func TestRunsLostAgainstARepeat(t *testing.T) {
+	for _, first := range []string{"repeat", "loss"} {
+		s, p, do := up(t)
+		s.Submit(p, 1, order(s, "a"))
+		do()
+		s.step()
+		if first == "loss" {
+			s.runsLost()
+		}
+		s.Submit(p, 2, order(s, "b"))
+		do()
+		s.step()
+		if first == "repeat" {
+			s.runsLost()
+		}
+		s.step()
+		require.Equal(t, []any{Failed, Failed}, p.got, first)
+		require.EqualValues(t, 1, s.stats.Runs, first)
+		require.Empty(t, s.requests, first)
+	}
+}
+
+// The entry of an order runs out while its run goes on: the run keeps it until its end, and its end finds it.
+func TestWindowAgainstARun(t *testing.T) {
+	s, p, do := up(t)
+	s.Submit(p, 1, order(s, "a"))
+	do()
+	s.step()
+	r := s.byWire["a"]
+	s.clock.now += s.cfg.Settings.Classes[2].KeyWindow / 2
+	s.deadlines.Sweep(s.clock.now)
+	s.step()
+	require.Equal(t, []any{Failed}, p.got) // in time, though it runs
+	s.Submit(p, 2, order(s, "b"))          // within the window
+	do()
+	s.step()
+	s.clock.now += 10 * s.cfg.Settings.Classes[2].KeyWindow
+	s.finish(r, decide.OK, []byte("done"))
+	require.Equal(t, []any{Failed, Served}, p.got)
+	require.EqualValues(t, 1, s.stats.Runs)
+	s.clock.now += s.lateMost()
+	s.deadlines.Sweep(s.clock.now)
+	require.Zero(t, s.keys.size())
+}
+
+// The older process ends while an order that it ran has not ended, or just after: its result answers tries at the newer.
+func TestEndOfTheOlderAgainstItsRun(t *testing.T) {
+	o := withPartner(t)
+	run := o.order("aa")
+	o.joinedNewer(o.link)
+	o.expect("known")
+	o.expect("synced")
+	o.Drain()
+	o.do()
+	o.step()
+	o.deadlines.Sweep(o.clock.now)
+	o.serving = 0
+	o.Closed(o.peer, Left)
+	o.do()
+	require.False(t, o.finished())
+	o.finish(run, decide.OK, []byte("done"))
+	o.expect(string(handover.Over))
+	require.True(t, o.finished())
+}
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"falldeal/decide"
@@ -14,11 +16,16 @@
 const (
 	endMargin  = 120 * time.Millisecond
 	LastWrites = 90 * time.Millisecond
+
+	// lastComers is how long before that the listeners are closed at the latest: what came in at the last moment, over
+	// whatever way there is between the machines, is read and answered by the end. Front ends are promised 50 ms.
+	lastComers = 100 * time.Millisecond
 )
 
 type drainState struct {
 	on       bool
 	replaced bool          // a newer process goes on
+	began    time.Duration // when the notice came
 	stopAt   time.Duration // when the loop ends at the latest
 	shutAt   time.Duration // when the listeners are closed: nothing that arrives later would be run
 	shutDone bool
@@ -40,9 +47,9 @@
 		} else {
 			s.announcer.Set(false)
 		}
-		s.drain = drainState{on: true, replaced: replaced, stopAt: now + max(stop-endMargin, 0)}
-		s.drain.shutAt = min(now+shut, s.drain.stopAt)
-		s.happened(decide.Event{Kind: decide.Notice, At: s.drain.stopAt, Replaced: replaced})
+		s.drain = drainState{on: true, replaced: replaced, began: now, stopAt: now + max(stop-endMargin, 0)}
+		s.drain.shutAt = max(min(now+shut, s.drain.stopAt-lastComers), now)
+		s.happenedNotice()
 		for _, st := range s.peers.states {
 			s.tellClosing(st)
 		}
@@ -52,6 +59,12 @@
 	})
 }
 
+// happenedNotice has the controller know of the notice, be it later than that came.
+func (s *Server) happenedNotice() {
+	d := &s.drain
+	s.happened(decide.Event{Kind: decide.Notice, At: d.stopAt, Waited: s.clock.now - d.began, Replaced: d.replaced})
+}
+
 // shut closes the listeners: a refused connection tells a front end at once to go elsewhere.
 func (s *Server) shut() {
 	s.drain.shutDone = true
@@ -63,13 +76,28 @@
 	}
 }
 
-// finished reports whether a drain is over: all front ends have gone, or time is up.
+// finished reports whether a drain is over: all front ends have gone, or time is up. A newer process waits for the
+// ends of orders that run here, to answer those that try them again.
 func (s *Server) finished() bool {
-	return s.drain.on && (s.drain.shutDone && s.serving == 0 && s.peers.size() == 0 || s.clock.now >= s.drain.stopAt)
+	return s.drain.on && (s.drain.shutDone && s.serving == 0 && s.peers.none() && !(s.drain.replaced && s.keys.runs()) ||
+		s.clock.now >= s.drain.stopAt)
 }
 
-// leave is the end of the loop: what was answered is still written.
+// leave is the end of the loop: what was read by then is answered, and all answers are still written.
 func (s *Server) leave() {
+	for n := len(s.in); n > 0; n-- {
+		(<-s.in)()
+	}
+	s.step()
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		switch r := s.requests[id]; {
+		case r == nil || r.answered:
+		case r.running || r.claims || s.keys.known(r) != nil && s.keys.known(r).ran:
+			s.answer(r, Answer{Kind: Failed})
+		default:
+			s.answer(r, Answer{Kind: Refused})
+		}
+	}
 	s.printStats()
 	for p := range s.peers.states {
 		p.Close()
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -17,10 +17,12 @@
 	Once   string // the same for all tries of one request; "" where there is no such thing
 	Key    string // what a read is about
 	Class  string
+	Tenant string        // "" where there is no such thing
+	Repeat bool          // marked as a further try
 	At     time.Duration // when it came to the machine, on the Unix clock
-	Wait   time.Duration // how long its caller waits from then on
+	Wait   time.Duration // how long its caller waits from then on; 0 = not told
 	Caller int
-	Cost   time.Duration
+	Cost   time.Duration // work to expect; 0 = not told
 	KB     float64
 	Rank   float64
 	Body   []byte
@@ -53,6 +55,7 @@
 type Peer interface {
 	Answer(call uint32, a Answer)
 	Closing()      // no new request should come on this connection
+	Finish()       // read what has come by now and nothing more; Closed tells when that is done
 	Close()        // after what was handed over is written
 	MostOpen() int // calls that may be open at once
 }
@@ -60,11 +63,12 @@
 // End tells why a connection ended.
 type End uint8
 
-// The kinds of End.
+// The kinds of End. After all but Left answers may still be written, and the server closes the Peer.
 const (
 	Left       End = iota // either side closed it, or the network did
 	Silent                // no message came, or one that did not end
 	Unreadable            // what came is not of the protocol
+	Finished              // as asked for by Finish
 )
 
 // Front accepts front ends of one protocol and hands what they send to a Server.
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -36,6 +36,9 @@
 func (s *Server) joinedNewer(l *handover.Link) {
 	s.log.Info("a newer process has joined")
 	s.newer = l
+	if s.drain.on {
+		s.announcer.Silence() // the newer one is to be listed, and not as leaving
+	}
 	s.tellFleet()
 	var all []handover.Message
 	for _, e := range s.keys.entries {
--- a/internal/server/handover_test.go
+++ b/internal/server/handover_test.go
@@ -156,6 +156,7 @@
 	o.expect("grant")
 	o.partner(handover.Free, handover.Message{Once: "dd"})
 	require.True(t, o.order("dd").running)
+	last := string(rune('a' + o.last))
 	o.expect("known")
 
 	// SIGTERM is no drain now: nobody is sent elsewhere, and new connections are the newer one's.
@@ -168,6 +169,9 @@
 	require.True(t, o.drain.shutDone)
 	require.False(t, o.finished()) // a front end is still there
 	o.forgetPeer(o.peers.of(o.peer))
+	require.False(t, o.finished()) // the newer process is still to hear how the last order ends
+	o.finish(o.byWire[last], decide.OK, nil)
+	o.expect("over")
 	require.True(t, o.finished())
 }
 
--- a/internal/server/keys.go
+++ b/internal/server/keys.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"falldeal/decide"
@@ -23,6 +24,7 @@
 	digest uint64           // of what all its tries ask for
 	from   *handover.Link   // the process that has the entry; nil: this one
 	holder decide.RequestID // the try that has it
+	tries  []*request       // that are in hand under it, in order of arrival
 	ran    bool             // the holder was run
 	over   bool             // that run has ended
 	ok     bool             // and its result is kept
@@ -76,23 +78,31 @@
 // together know each other too.
 func (t *keyTable) take(r *request) decide.RequestID {
 	if e := t.known(r); e != nil {
-		t.of[r] = e
+		t.enter(e, r)
 		return e.holder
 	}
 	if past := t.entries[r.try.Once]; past != nil {
 		t.drop(past)
 	}
-	t.hold(&keyEntry{once: r.try.Once, digest: t.digest(r.try)}, r)
+	e := &keyEntry{once: r.try.Once, digest: t.digest(r.try)}
+	t.enter(e, r)
+	t.hold(e, r)
 	return 0
 }
 
+// enter notes that r is one of the tries of e.
+func (t *keyTable) enter(e *keyEntry, r *request) {
+	t.of[r] = e
+	e.tries = append(e.tries, r)
+}
+
 // hold gives r the entry.
 func (t *keyTable) hold(e *keyEntry, r *request) {
 	if e.holder == r.id {
 		return
 	}
 	e.holder, e.closes = r.id, r.try.At+r.window
-	t.entries[e.once], t.of[r] = e, e
+	t.entries[e.once] = e
 	t.tell(e.known())
 }
 
@@ -183,15 +193,34 @@
 	return waits
 }
 
+// runs reports whether a run under any key has not ended in this process.
+func (t *keyTable) runs() bool {
+	for _, e := range t.of {
+		if e.ran && !e.over && e.from == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // left notes that nothing more is to come about r. It returns an entry that has to stay until its
 // window is over; one that no run has goes with its holder.
 func (t *keyTable) left(r *request) *keyEntry {
 	e := t.of[r]
 	delete(t.of, r)
-	if e == nil || e.holder != r.id {
+	if e == nil {
+		return nil
+	}
+	e.tries = slices.DeleteFunc(e.tries, func(other *request) bool { return other == r })
+	if e.holder != r.id {
 		return nil
 	}
 	if !e.ran {
+		// A try that comes before the controller has named an heir must not be taken for the first: both would run.
+		if len(e.tries) > 0 {
+			t.hold(e, e.tries[0])
+			return nil
+		}
 		t.drop(e)
 		t.tell(handover.Message{Kind: handover.Free, Once: e.once})
 		return nil
--- a/internal/server/longday_test.go
+++ b/internal/server/longday_test.go
@@ -43,7 +43,7 @@
 // ask sends a request that has never been seen: new id, key, order, front end and connection.
 func (d *day) ask() {
 	d.n++
-	p := &countingPeer{}
+	p := &countingPeer{server: d.Server}
 	id := fmt.Sprintf("%016x", d.n)
 	try := Try{ID: id, Key: id, Class: d.cfg.Classes[d.rng.IntN(3)], At: time.Duration(d.at.UnixNano()), Wait: 2 * time.Second,
 		Caller: d.n, Cost: 10 * time.Millisecond, KB: 4, Rank: 0.5, Body: make([]byte, 200)}
@@ -111,7 +111,7 @@
 		d.pass(step / 2)
 		d.work()
 		d.pass(step / 2)
-		for name, n := range map[string]int{"requests": len(d.requests), "wire": len(d.byWire), "connections": d.peers.size(),
+		for name, n := range map[string]int{"requests": len(d.requests), "wire": len(d.byWire), "connections": len(d.peers.states),
 			"keys": d.keys.size(), "key holders": len(d.keys.of), "checks": len(d.exercises), "deadlines": d.deadlines.Len(),
 			"open": d.peers.opened} {
 			largest[name] = max(largest[name], n)
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"falldeal/internal/deadline"
@@ -30,6 +31,8 @@
 	said    bool          // it has sent a request or a health check that can be read
 	used    time.Duration // when a message last came or went, or it was told to go
 	closing bool          // it was told that it is closing
+	leaving bool          // it is being closed, and has no place any more: only what has come by now is read and answered
+	deaf    bool          // what it says is passed over
 
 	list *list.List // that it stands in: nil while a request is open
 	at   *list.Element
@@ -51,11 +54,17 @@
 	states map[Peer]*peerState
 	idle   [peerKinds]list.List // idle for longest first
 	opened int                  // open requests
+	left   int                  // states that are leaving
+	muted  []*peerState         // nothing is read from them any more; to be closed once nothing is open
 }
 
 func newPeerTable() peerTable { return peerTable{states: map[Peer]*peerState{}} }
 
-func (t *peerTable) size() int { return len(t.states) }
+// size is how many connections there are, but for those that are being closed.
+func (t *peerTable) size() int { return len(t.states) - t.left }
+
+// none reports whether there is no connection at all.
+func (t *peerTable) none() bool { return len(t.states) == 0 }
 
 // of returns the state of a connection, or nil once it is gone.
 func (t *peerTable) of(p Peer) *peerState { return t.states[p] }
@@ -72,8 +81,23 @@
 	t.take(st)
 	t.opened -= len(st.open)
 	delete(t.states, st.peer)
+	if st.leaving {
+		t.left--
+	}
+}
+
+// leave notes that a connection is being closed. Nothing but its open requests keeps it.
+func (t *peerTable) leave(st *peerState) {
+	if !st.leaving {
+		st.leaving = true
+		t.left++
+		t.take(st)
+	}
 }
 
+// mute notes that nothing more is read from a connection that is leaving.
+func (t *peerTable) mute(st *peerState) { t.muted = append(t.muted, st) }
+
 // use notes that a message came or went.
 func (t *peerTable) use(st *peerState, now time.Duration) {
 	st.used = now
@@ -119,7 +143,7 @@
 // place puts a connection behind those of its kind that have been idle for longer.
 func (t *peerTable) place(st *peerState) {
 	t.take(st)
-	if len(st.open) > 0 {
+	if len(st.open) > 0 || st.leaving {
 		return
 	}
 	st.list = &t.idle[st.kind()]
@@ -179,11 +203,28 @@
 	return true
 }
 
-// dropPeer closes a connection without waiting for its reader to notice.
+// dropPeer closes a connection. A request that came before that may not have been read yet, where this process is
+// behind or the machine stood still: it is read, and answered. The place is free at once.
 func (s *Server) dropPeer(st *peerState) {
-	s.stats.ConnectionsClosed++
-	s.forgetPeer(st)
-	st.peer.Close()
+	if !st.leaving {
+		s.stats.ConnectionsClosed++
+		s.peers.leave(st)
+		st.peer.Finish()
+	}
+}
+
+// closeMuted closes the connections from which nothing more comes and on which nothing is owed any more.
+func (s *Server) closeMuted() {
+	s.peers.muted = slices.DeleteFunc(s.peers.muted, func(st *peerState) bool {
+		if len(st.open) > 0 {
+			return false
+		}
+		if s.peers.of(st.peer) == st {
+			s.peers.remove(st)
+			st.peer.Close()
+		}
+		return true
+	})
 }
 
 // forgetPeer strikes off a connection: nobody waits for answers on it.
--- a/internal/server/peers_test.go
+++ b/internal/server/peers_test.go
@@ -161,9 +161,17 @@
 }
 
 // countingPeer only counts, so that nothing grows while it is measured.
-type countingPeer struct{ answers int }
+type countingPeer struct {
+	answers int
+	server  *Server // that is told once nothing more is read; nil: nobody
+}
 
 func (p *countingPeer) Answer(uint32, Answer) { p.answers++ }
 func (p *countingPeer) Closing()              {}
 func (p *countingPeer) Close()                {}
-func (p *countingPeer) MostOpen() int         { return 32 }
+func (p *countingPeer) Finish() {
+	if p.server != nil {
+		p.server.Closed(p, Finished)
+	}
+}
+func (p *countingPeer) MostOpen() int { return 32 }
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -33,6 +33,9 @@
 // retune takes over new settings.
 func (s *Server) retune(c *config.Config) error {
 	next, names := c.Settings, slices.Clone(s.cfg.Classes)
+	if s.drain.on {
+		next.DrainGrace = min(next.DrainGrace, s.cfg.Settings.DrainGrace) // the notice was given under that one
+	}
 	next.Classes, names = placeClasses(s.cfg.Settings.Classes, c.Settings.Classes, names, c.Classes)
 	if s.ctl != nil {
 		if err := s.ctl.Retune(next); err != nil {
@@ -40,8 +43,9 @@
 		}
 	}
 	cfg := *s.cfg
-	cfg.Settings, cfg.Classes, cfg.Gauges, cfg.StopReplaced = next, names, c.Gauges, c.StopReplaced
+	cfg.Settings, cfg.Classes, cfg.Tenants, cfg.Gauges, cfg.StopReplaced = next, names, c.Tenants, c.Gauges, c.StopReplaced
 	s.cfg = &cfg
+	s.nameTenants()
 	s.rebaseShare()
 	s.admitWaits()
 	for i, k := range next.Classes {
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -78,7 +78,7 @@
 		s.tellWithdrawn()
 	}
 	if s.drain.on {
-		s.happened(decide.Event{Kind: decide.Notice, At: s.drain.stopAt})
+		s.happenedNotice()
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,7 @@
 	id     decide.RequestID
 	try    Try
 	class  int
+	tenant int
 	peer   Peer
 	call   uint32        // its number on that connection
 	window time.Duration // in which it may come again and must not run twice
@@ -62,6 +63,7 @@
 	actions []decide.Action
 
 	classes  map[string]int
+	tenants  map[string]int
 	mostWait time.Duration // longest deadline so far
 	requests map[decide.RequestID]*request
 	byWire   map[string]*request
@@ -90,7 +92,7 @@
 func New(cfg *config.Config, log logrus.FieldLogger) *Server {
 	s := &Server{cfg: cfg, log: log, warn: logging.NewLimiter(log), trails: debugs(log), in: make(chan func(), inRoom),
 		ended: make(chan struct{}), clock: clock{read: time.Now}, deadlines: deadline.New(),
-		classes: map[string]int{}, requests: map[decide.RequestID]*request{}, byWire: map[string]*request{},
+		classes: map[string]int{}, tenants: map[string]int{}, requests: map[decide.RequestID]*request{}, byWire: map[string]*request{},
 		open: make(chan struct{}), partners: partners{claims: map[string][]*request{}},
 		keys: newKeyTable(cfg.Limits.MemoryMB), peers: newPeerTable(), exercises: map[string]probe{},
 		watch:  idleWatch{limit: cfg.Settings.IdleAfter},
@@ -98,6 +100,7 @@
 	for i := range cfg.Classes {
 		s.enlist(i)
 	}
+	s.nameTenants()
 	s.admitWaits()
 	s.keys.tell = s.tellPartners
 	s.clock.advance()
@@ -201,6 +204,7 @@
 	s.deadlines.Sweep(s.clock.now)
 	s.stats.Turns++
 	s.step()
+	s.closeMuted()
 	s.watchIdle()
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -19,6 +19,7 @@
 func (p *peer) Answer(call uint32, a Answer) { p.got = append(p.got, a.Kind) }
 func (p *peer) Closing()                     { p.got = append(p.got, "closing") }
 func (p *peer) Close()                       { p.got = append(p.got, "close") }
+func (p *peer) Finish()                      { p.got = append(p.got, "close") }
 func (p *peer) MostOpen() int                { return 2 }
 
 // idle returns a server that does not run; do carries out what was posted to it.
--- a/internal/server/take.go
+++ b/internal/server/take.go
@@ -39,7 +39,8 @@
 	})
 }
 
-// Closed tells that a connection has ended: nobody waits for answers on it.
+// Closed tells that nothing more is read from a connection. Where it has ended, nobody waits for answers on it; else
+// what was read before is still answered.
 func (s *Server) Closed(p Peer, why End) {
 	s.post(func() {
 		switch why {
@@ -48,8 +49,14 @@
 		case Unreadable:
 			s.stats.Unreadable++
 		}
-		if st := s.peers.of(p); st != nil {
+		st := s.peers.of(p)
+		switch {
+		case st == nil:
+		case why == Left:
 			s.forgetPeer(st)
+		default:
+			s.peers.leave(st)
+			s.peers.mute(st)
 		}
 	})
 }
@@ -58,14 +65,15 @@
 func (s *Server) Submit(p Peer, call uint32, t Try) {
 	s.post(func() {
 		st := s.peers.of(p)
-		if st == nil {
+		if st == nil || st.deaf {
 			return // the connection is gone already
 		}
 		s.peers.heard(st, s.clock.now)
 		s.stats.Requests++
 		switch {
 		case st.open[call] != nil:
-			// Two open calls of one number can't be told apart by the answer.
+			// Two open calls of one number can't be told apart by the answer: that of the first goes out.
+			st.deaf = true
 			s.dropPeer(st)
 		case len(st.open) >= p.MostOpen():
 			s.invalid(p, call, errTooMany)
@@ -80,7 +88,7 @@
 // Wrong answers a request that can't be read.
 func (s *Server) Wrong(p Peer, call uint32, err error) {
 	s.post(func() {
-		if s.peers.of(p) != nil {
+		if st := s.peers.of(p); st != nil && !st.deaf {
 			s.stats.Requests++
 			s.invalid(p, call, err)
 		}
@@ -108,7 +116,7 @@
 func (s *Server) Probe(p Peer, call uint32, deep bool) {
 	s.post(func() {
 		st := s.peers.of(p)
-		if st == nil {
+		if st == nil || st.deaf {
 			return
 		}
 		s.peers.heard(st, s.clock.now)
