Signals that come while a process starts are dealt with after the start, and a dead log ends nothing

Seen, by reading for what can cross a start: internal/process/process.go caught signals only once the configuration was read. A SIGHUP in the 10 ms before that (a new configuration goes round while a server is replaced) ended the process, as did SIGUSR1; SIGTERM killed it with the status of a crash; and a file that was replaced just after it was read stayed unknown. Beside it: Go ends a process that writes to a log which nobody reads any more (SIGPIPE on standard error), with all that it had taken in.

Change: process.Catch is the first thing that `serve` does, in both programs; Load gives up where the process is told to leave meanwhile; SIGPIPE is passed over. Serve takes the signals caught so far. Tests with real processes, which hold the start at its configuration (a pipe that nobody has written to yet), both orders: TestReloadAgainstTheStart, TestTermAgainstTheStart, TestLogThatNobodyReads. Seen failing on the code before: broken pipe (the process was gone), 'signal: terminated', and no link to the agent (it hung there until that wait got its limit).

--- a/cmd/falldeal-fleet/main.go
+++ b/cmd/falldeal-fleet/main.go
@@ -58,7 +58,16 @@
 	if err != nil {
 		return fmt.Errorf("flag --log-level: %w", err)
 	}
-	c, err := config.Load(*path)
+	load := config.Load
+	var caught *process.Signals
+	if flags.Arg(0) == "serve" {
+		caught = process.Catch()
+		load = caught.Load
+	}
+	c, err := load(*path)
+	if errors.Is(err, process.ErrLeft) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -80,7 +89,7 @@
 				return fmt.Errorf("operators' file %s: %w", *operated, err)
 			}
 		}
-		err := process.Serve(c, *path, log, part)
+		err := process.Serve(caught, c, *path, log, part)
 		if m.tracer != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), traceLimit)
 			defer cancel()
--- a/cmd/falldeal/main.go
+++ b/cmd/falldeal/main.go
@@ -97,13 +97,17 @@
 		if err != nil {
 			return fmt.Errorf("flag --log-level: %w", err)
 		}
-		c, err := config.Load(*path)
+		caught := process.Catch()
+		c, err := caught.Load(*path)
+		if errors.Is(err, process.ErrLeft) {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
 		log := logrus.New()
 		log.SetLevel(lvl)
-		return process.Serve(c, *path, log, process.Part{})
+		return process.Serve(caught, c, *path, log, process.Part{})
 	default:
 		flags.Usage()
 		return fmt.Errorf("unknown command %q", name)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"math"
 	"net"
-	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -59,13 +57,9 @@
 
 // Serve runs the server until a drain is over. Whatever then still hangs on a socket does not keep
 // the process past its time.
-func Serve(c *config.Config, path string, log *logrus.Logger, part Part) error {
+func Serve(caught *Signals, c *config.Config, path string, log *logrus.Logger, part Part) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Limits.Cores)), 1))
 	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB<<20)))
-	// A signal that finds its channel full is dropped: one to leave must not be because others wait.
-	signals, leave := make(chan os.Signal, 4), make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
-	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
 	front, err := listen(c, logging.NewLimiter(log))
 	if err != nil {
 		return err
@@ -113,7 +107,7 @@
 	ended := s.Ended()
 	for {
 		select {
-		case sig := <-signals:
+		case sig := <-caught.others:
 			switch sig {
 			case syscall.SIGUSR1:
 				s.PrintStats()
@@ -127,7 +121,7 @@
 				}
 				s.Reload(next, err)
 			}
-		case <-leave:
+		case <-caught.leave:
 			s.Drain()
 		case <-ended:
 			ended, late = nil, time.After(server.LastWrites)
