A first link to the agent that leads nowhere is replaced; a reply that was read is not sent again

Seen, by reading on after docs/crossings.md (its two rows that were not whole): - internal/agent/link.go watch(): a link was judged by silence only once one had greeted. One read shortly before a break was sent again, and would answer the run's next call where that came in the same moment. Ruled out: numbering it, the protocol has no field; dropping it unread, the run would hang; time before it is sent again, which leaves the same instant open at its end.

Change: a link without its greeting is replaced after 10 s, the first one too, looked at once a second until then. A deliver has a sample sent behind it (where one is under way: when that is answered), so that a break leaves in doubt what was read within a round trip and no more. That rest stays in docs/crossings.md as a question.

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -32,8 +32,8 @@
 	// is answered at once. The count is for a process that stood still, which has time passed and answers unread.
 	silentMost  = 2 * time.Second
 	silentAsked = 3
-	// greetMost is how long a link may be without its greeting: a booting agent greets once it is up, and takes a new
-	// link as well.
+	// greetMost is how long a link may be without its greeting, be it the first one: a booting agent greets once it is up,
+	// and takes a new link as well. A third of what a server may take to be ready on the platform.
 	greetMost = 10 * time.Second
 
 	// restartSlack is what an agent's age, told twice, may lack though it is the same agent.
@@ -45,6 +45,7 @@
 	seq  int64
 	req  string // whose notices prove that it was read
 	line []byte
+	once bool // read a second time, it may do harm
 }
 
 // Link is the link to the agent. Its methods are called from the loop that post hands functions to.
@@ -197,10 +198,10 @@
 	}
 }
 
-// watch gives up a link that is open and brings nothing, for another to be opened. Without a greeting yet there is
-// nothing that it would have to bring.
-func (l *Link) watch() {
-	if l.now == nil || l.cur == nil || l.greet.IsZero() {
+// Check gives up a link that is open and brings nothing, for another to be opened. Sample does the same; before the first
+// greeting nobody samples.
+func (l *Link) Check() {
+	if l.now == nil || l.cur == nil {
 		return
 	}
 	silent := l.now() - l.heard
@@ -274,6 +275,9 @@
 	}
 	if l.synced {
 		l.drop(func(c command) bool { return c.seq < seq })
+		if slices.ContainsFunc(l.unread, func(c command) bool { return c.once }) {
+			l.sample() // it was sent since
+		}
 		return
 	}
 	l.synced = true
@@ -304,9 +308,9 @@
 // that they were read, or nobody wants them any more.
 func (l *Link) Forget(req string) { l.drop(func(c command) bool { return c.req == req }) }
 
-func (l *Link) send(req string, line []byte) {
+func (l *Link) send(req string, line []byte, once bool) {
 	l.seq++
-	l.unread = append(l.unread, command{l.seq, req, line})
+	l.unread = append(l.unread, command{l.seq, req, line, once})
 	if l.synced {
 		l.cur.Send(line)
 	}
@@ -314,17 +318,22 @@
 
 // Launch runs a request.
 func (l *Link) Launch(req, class string, payload []byte) {
-	l.send(req, launch(req, class, payload))
+	l.send(req, launch(req, class, payload), false)
 }
 
-// Deliver hands a run the reply to the call that it waits for.
+// Deliver hands a run the reply to the call that it waits for. The protocol gives it no number: sent again after a break, it
+// would answer the run's next call if that had come by then. So a sample asks at once whether it was read, not at the
+// next sweep, and what a break may still leave in doubt is what the agent reads within a round trip.
 func (l *Link) Deliver(req string, payload []byte) {
-	l.send(req, deliver(req, payload))
+	l.send(req, deliver(req, payload), true)
+	if l.synced && l.asked == 0 {
+		l.sample()
+	}
 }
 
 // Forgo lets a run go on without the call that the notice at offset asked for.
 func (l *Link) Forgo(req string, offset int64) {
-	l.send(req, forgo(req, offset))
+	l.send(req, forgo(req, offset), false)
 }
 
 // Sample asks for the gauges.
@@ -332,7 +341,7 @@
 	if l.synced {
 		l.sample()
 	}
-	l.watch()
+	l.Check()
 }
 
 func (l *Link) sample() {
--- a/internal/server/send.go
+++ b/internal/server/send.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"falldeal/decide"
 	"falldeal/internal/agent"
@@ -23,6 +24,7 @@
 	s.stats.Runs++
 	r.running, r.began = true, s.clock.now
 	s.keys.ran(r)
+	s.spend(r)
 	s.agent.Launch(r.try.ID, r.try.Class, r.try.Body)
 	r.try.Body = nil // the link has it for as long as it is needed
 }
@@ -52,6 +54,17 @@
 	}
 }
 
+// bootCheck is how often the link to an agent that has not greeted is looked at.
+const bootCheck = time.Second
+
+// awaitAgent sees to it that a link which leads nowhere is replaced though nothing is asked on it yet.
+func (s *Server) awaitAgent() {
+	if s.ctl == nil {
+		s.agent.Check()
+		s.deadlines.Add(s.clock.now+bootCheck, s.awaitAgent)
+	}
+}
+
 // greeted starts the controller: the agent is up, and its age tells whether it is warm. A greeting on
 // a later link changes nothing, since agent and image server live and die together.
 func (s *Server) greeted(n agent.Notice) {
