A try that comes again after its answer is not run again; readers that wait are heard at the end

Seen, by reading the stages for input that is repeated or late: - take.go Submit(): an id was known for as long as its try was in hand. The same message once more, after the answer, was taken for a new try: run a second time (twice the effect in a class that may not be repeated and carries no key) and answered twice. - drain.go leave(): as many messages were taken as stood in the input at that moment; what readers handed over as room was made in a full input was left.

A known one is a wrong request on another connection, and a number used twice on its own. The end of the loop takes the input until it is empty, twice its room at most. Seen failing without the mends: TestTryThatComesAgainAgainstItsAnswer (over sockets; both places after the answer), TestReadersThatWaitAgainstTheEnd.

--- a/internal/msgpackrpc/crossings_test.go
+++ b/internal/msgpackrpc/crossings_test.go
@@ -72,6 +72,45 @@
 	}
 }
 
+// A try comes again, as it was sent or on another connection, before or after its answer: it is run once and answered once.
+// After the answer it was taken for a new one, run and answered a second time.
+func TestTryThatComesAgainAgainstItsAnswer(t *testing.T) {
+	t.Parallel()
+	for _, place := range []string{"its connection", "another connection"} {
+		for _, early := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, before the answer: %v", place, early), func(t *testing.T) {
+				t.Parallel()
+				p := start(t, append([]string{`"Idempotency": "safe"`, `"Idempotency": "unsafe"`}, never...)...)
+				f := p.dial()
+				id, frame := f.try("preview", "x")
+				f.write(frame)
+				p.expect("launch", id)
+				end := func() {
+					p.tell("outcome", id, "success", []byte("x"))
+					f.expectAnswer(1, "x")
+				}
+				if !early {
+					end()
+				}
+				g := f
+				if place != "its connection" {
+					g = p.dial()
+				}
+				g.write(frame)
+				p.quiet() // nothing is run
+				if early {
+					end()
+				}
+				if g == f {
+					f.expectEnd() // a number used twice
+				} else {
+					g.expectAnswer(1, errInvalid)
+				}
+			})
+		}
+	}
+}
+
 // pipe is a connection over loopback, its near end as the server has it.
 func pipe(t *testing.T) (*conn, net.Conn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/server/book.go
+++ b/internal/server/book.go
@@ -20,6 +20,7 @@
 	s.peers.use(st, s.clock.now)
 	s.count(r.class, a.Kind)
 	s.leavesTrail(r, answerNames[a.Kind])
+	s.spend(r)
 	r.peer.Answer(r.call, a)
 }
 
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -84,6 +84,41 @@
 	require.Equal(t, "close", p.got[3])
 }
 
+// Readers wait for room in the input of the loop as that ends: what they have read is answered like what was in it. It was
+// left unread.
+func TestReadersThatWaitAgainstTheEnd(t *testing.T) {
+	s, p, do := up(t)
+	s.Drain()
+	do()
+	s.step()
+	s.clock.now = s.drain.stopAt
+	s.post(func() { // room is made, and taken by one that waited
+		s.Submit(p, 1, Try{ID: "a", Class: "preview", At: s.clock.now, Wait: 3 * time.Second, KB: 1})
+	})
+	for len(s.in) < inRoom {
+		s.post(func() {})
+	}
+	s.leave()
+	require.Equal(t, []any{"closing", Refused, "close"}, p.got)
+}
+
+// The link to an agent that has not greeted is looked at, and no longer once it has: a server at rest has no timer for it.
+func TestAgentThatDoesNotGreetIsLookedAt(t *testing.T) {
+	s, _ := idle(t)
+	s.awaitAgent()
+	for range 3 {
+		at, ok := s.deadlines.Next()
+		require.True(t, ok)
+		require.Equal(t, s.clock.now+bootCheck, at)
+		s.clock.now = at
+		s.deadlines.Sweep(at)
+	}
+	s.greeted(agent.Notice{Kind: agent.Greeting, Result: agent.Booting})
+	s.clock.now += bootCheck
+	s.deadlines.Sweep(s.clock.now)
+	require.Zero(t, s.deadlines.Len())
+}
+
 // SIGTERM comes while the agent boots: the time in which arrivals may be run counts from the notice, not from when the
 // controller heard of it.
 func TestNoticeAgainstTheAgentsStart(t *testing.T) {
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -85,7 +85,8 @@
 
 // leave is the end of the loop: what was read by then is answered, and all answers are still written.
 func (s *Server) leave() {
-	for n := len(s.in); n > 0; n-- {
+	// Readers that waited for room hand over what they have read as it is made; a flood of it has an end.
+	for n := 2 * inRoom; n > 0 && len(s.in) > 0; n-- {
 		(<-s.in)()
 	}
 	s.step()
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -28,6 +28,7 @@
 type peerState struct {
 	peer    Peer
 	open    map[uint32]*request
+	last    uint32        // highest number of a request so far
 	said    bool          // it has sent a request or a health check that can be read
 	used    time.Duration // when a message last came or went, or it was told to go
 	closing bool          // it was told that it is closing
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -67,6 +67,7 @@
 	mostWait time.Duration // longest deadline so far
 	requests map[decide.RequestID]*request
 	byWire   map[string]*request
+	spent    spentIDs
 	lastID   decide.RequestID
 	keys     keyTable
 	peers    peerTable
@@ -170,6 +171,7 @@
 func (s *Server) loop(ctx context.Context) {
 	defer close(s.ended)
 	defer s.leave()
+	s.awaitAgent()
 	s.keepTelling()
 	s.keepSharing()
 	s.keepCutoff()
--- a/internal/server/take.go
+++ b/internal/server/take.go
@@ -22,6 +22,7 @@
 var (
 	errTooMany   = errors.New("too many open requests on this connection")
 	errDuplicate = errors.New("field id: a try of this id is in hand")
+	errSpent     = errors.New("field id: a try of this id was answered or run before")
 )
 
 // Opened makes a connection known.
@@ -70,15 +71,19 @@
 		}
 		s.peers.heard(st, s.clock.now)
 		s.stats.Requests++
+		last := st.last
+		st.last = max(last, call)
 		switch {
-		case st.open[call] != nil:
-			// Two open calls of one number can't be told apart by the answer: that of the first goes out.
+		case st.open[call] != nil, call <= last && s.spent.has(t.ID):
+			// Two calls of one number can't be told apart by the answer: that of the first goes out, or has gone.
 			st.deaf = true
 			s.dropPeer(st)
 		case len(st.open) >= p.MostOpen():
 			s.invalid(p, call, errTooMany)
 		case s.byWire[t.ID] != nil:
 			s.invalid(p, call, errDuplicate)
+		case s.spent.has(t.ID):
+			s.invalid(p, call, errSpent)
 		default:
 			s.admit(p, call, t)
 		}
