A connection is closed only when nothing is owed on it and nothing has come that was not read

Ruled out: the limit on silent connections and the loop's input (probes there were silent); a lack of room (none logged). Lines at fault: front.go start(), which threw away what came from the moment in which the reader had found nothing, though the connection was shut only when the loop and the writer had come to it. Its siblings, by reading: take.go Opened(), which closed a connection unread where no place was free, however long that had waited to be accepted; and Closed(), after which a second request on a connection that had turned out to be in use was read for nobody while the first one ran.

Change: leaving is a state of a connection with steps (peers.go): asked to read what has come; quiet, and then shut by End, which looks once more in the instant before; or in use, told so by `closing`, read as ever until all has its answer, and asked again. A peer whose messages have no end has eight looks. The outbox shuts in the loop's own turn where nothing waits.

Tests: TestRequestAgainstTheClose (both orders), TestNoRoomAgainstARequest, TestRoomIsMadeAgainstARequest with a second request, TestMessageAgainstTheClose (five orders). Seen failing before: the second request and the one without a place went unanswered; there was no End to ask. TestAllReconnectAtOnce asks for a connection that leaves where it wanted one that is gone, with the same bounds and counts; the fakes of peers get the two methods.

--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"falldeal/internal/outbox"
 	"falldeal/internal/server"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -24,35 +27,71 @@
 	// protocol's for requests that cross a close.
 	lingerMost  = 50 * time.Millisecond
 	lingerBytes = 1 << 20
+
+	finishBytes = maxOpen * maxFrame // read at a time of a peer that is to be closed: all that it may have open
 )
 
 // errFinished says that nothing more is to be read.
 var errFinished = errors.New("no more is read")
 
 // conn is one connection of a front end. Its reader and its outbox run in goroutines of their own;
-// the server's loop calls Answer, Closing, Finish and Close, none of which blocks.
+// the server's loop calls Answer, Closing, Finish, Resume, End and Close, none of which blocks.
 type conn struct {
 	*outbox.Outbox
 	net      net.Conn
-	limited  bool // the reader's: a read may take so long only
+	in       frames // the reader's, like the next three
+	known    names
+	limited  bool // a read may take so long only
+	left     int  // of finishBytes
 	finish   atomic.Bool
+	again    chan struct{} // tells a reader that waits to read on; has room for one
+	once     sync.Once
+	shut     chan struct{} // closed by Close: nothing more is to be read
 	readDone chan struct{} // closed when nothing more is read
 }
 
 func newConn(nc net.Conn) *conn {
-	return &conn{Outbox: outbox.NewHalf(nc, outRoom), net: nc, readDone: make(chan struct{})}
+	c := &conn{Outbox: outbox.NewHalf(nc, outRoom), net: nc, again: make(chan struct{}, 1), shut: make(chan struct{}),
+		readDone: make(chan struct{})}
+	c.left = finishBytes
+	c.in = frames{from: c, begun: c.limit, late: true} // the first message has a limit from the start
+	return c
+}
+
+// serve reads until the connection has ended or is not to be read any more. What has come by then is all handed over: what
+// may be read once the connection is shut is left to linger.
+func (c *conn) serve(s *server.Server, ended func(error)) {
+	defer c.linger()
+	err := c.limit(true)
+	for {
+		if err == nil {
+			err = c.read(s)
+		}
+		ended(err)
+		c.left = finishBytes
+		end := endOf(err)
+		if end == server.Left {
+			c.Close()
+		}
+		s.Closed(c, end)
+		if end != server.Finished && end != server.Silent {
+			return
+		}
+		select {
+		case <-c.again:
+		case <-c.shut:
+			return
+		}
+		c.in.late = false // what has begun has its time once more
+		err = c.limit(false)
+	}
 }
 
 // read hands over messages until the connection ends. Broken framing ends it, and so does a message that
 // does not come to its end: a connection that says nothing takes the place of a front end.
 func (c *conn) read(s *server.Server) error {
-	in := frames{from: c, begun: c.limit, late: true} // the first message has a limit from the start
-	if err := c.limit(true); err != nil {
-		return err
-	}
-	var known names
 	for {
-		frame, err := in.next()
+		frame, err := c.in.next()
 		if err != nil {
 			return err
 		}
@@ -75,7 +114,7 @@
 			}
 			continue
 		}
-		t, err := parseTry(m, &known)
+		t, err := parseTry(m, &c.known)
 		if err != nil {
 			s.Wrong(c, m.id, err)
 			continue
@@ -107,6 +146,57 @@
 	_ = c.net.SetReadDeadline(passed) // a connection that is closed has no reader any more
 }
 
+// Resume implements server.Peer.
+func (c *conn) Resume() {
+	c.finish.Store(false)
+	c.goOn()
+}
+
+func (c *conn) goOn() {
+	select {
+	case c.again <- struct{}{}:
+	default:
+	}
+}
+
+// End implements server.Peer. Between its look at what has come and the end of the connection lies nothing but two calls
+// of the system, where all answers are written.
+func (c *conn) End() bool {
+	if c.waits() {
+		c.finish.Store(true)
+		c.goOn()
+		return false
+	}
+	c.CloseNow()
+	c.Close()
+	return true
+}
+
+// Close implements server.Peer.
+func (c *conn) Close() {
+	c.Outbox.Close()
+	c.once.Do(func() { close(c.shut) })
+}
+
+// waits reports whether something has come that was not read, be it the end of the connection.
+func (c *conn) waits() bool {
+	sc, ok := c.net.(syscall.Conn)
+	return ok && readable(sc)
+}
+
+// readable reports whether a read, or for a listener an Accept, would find something.
+func readable(c syscall.Conn) (found bool) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		found = n > 0 && err == nil
+	})
+	return found && err == nil
+}
+
 // Read implements io.Reader for the frames. A limit that has passed counts only where nothing is there to be read:
 // after a machine stood still, or while this process is behind, what came in time may wait beside it.
 func (c *conn) Read(b []byte) (int, error) {
@@ -114,8 +204,12 @@
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
+	if c.finish.Load() && c.left <= 0 {
+		return 0, errFinished
+	}
 	n, err = c.readNow(b)
 	if n > 0 {
+		c.left -= n
 		return n, c.limit(c.limited)
 	}
 	if err == nil && c.finish.Load() {
--- a/internal/msgpackrpc/crossings_test.go
+++ b/internal/msgpackrpc/crossings_test.go
@@ -176,6 +176,49 @@
 	}
 }
 
+// Bytes come in the moment in which a connection is closed, after all that had come was read: they are read before it is.
+// They were thrown away with the request that they were, and for as long as the loop took to come to the close.
+func TestRequestAgainstTheClose(t *testing.T) {
+	t.Parallel()
+	b := make([]byte, 10)
+	for _, first := range []string{"request", "close"} {
+		t.Run(first, func(t *testing.T) {
+			t.Parallel()
+			c, far := pipe(t)
+			c.Finish()
+			_, err := c.Read(b)
+			require.ErrorIs(t, err, errFinished)
+			if first == "request" {
+				_, err := far.Write([]byte("abc"))
+				require.NoError(t, err)
+				arrived(t, c, 3)
+				require.False(t, c.End())
+				<-c.again
+				require.NoError(t, c.limit(false))
+				n, err := c.Read(b)
+				require.NoError(t, err)
+				require.Equal(t, "abc", string(b[:n]))
+				_, err = c.Read(b)
+				require.ErrorIs(t, err, errFinished)
+			}
+			c.Send([]byte("answer"))
+			require.True(t, c.End())
+			over := make(chan error, 1)
+			go func() { over <- c.Run() }()
+			all, err := io.ReadAll(far)
+			require.NoError(t, err)
+			require.Equal(t, "answer", string(all))
+			require.NoError(t, <-over)
+
+			c, far = pipe(t) // with nothing to write it is closed when End returns
+			require.True(t, c.End())
+			require.NoError(t, far.SetReadDeadline(time.Now().Add(patience)))
+			_, err = far.Read(b)
+			require.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
+
 // holder is a peer of the server whose answer to a health check holds the loop.
 type holder struct {
 	held, release chan struct{}
@@ -184,6 +227,8 @@
 func (h *holder) Answer(uint32, server.Answer) { h.held <- struct{}{}; <-h.release }
 func (h *holder) Closing()                     {}
 func (h *holder) Finish()                      {}
+func (h *holder) Resume()                      {}
+func (h *holder) End() bool                    { return true }
 func (h *holder) Close()                       {}
 func (h *holder) MostOpen() int                { return maxOpen }
 
@@ -214,8 +259,35 @@
 	run := f.send("preview", "x")
 	h.release <- struct{}{}
 	p.expect("launch", run)
+	f.expectClosing() // and no more on this connection
+	crossed := f.send("preview", "y")
+	p.expect("launch", crossed)
 	p.tell("outcome", run, "success", []byte("x"))
 	f.expectAnswer(2, "x")
+	p.tell("outcome", crossed, "success", []byte("y"))
+	f.expectAnswer(3, "y")
+	f.expectEnd()
+}
+
+// All places are taken by connections in use, and one more comes with a request on it, which has waited for a place: it is
+// answered before that connection goes. It was closed unread.
+func TestNoRoomAgainstARequest(t *testing.T) {
+	t.Parallel()
+	p := start(t, append([]string{`"sockets": 1024`, `"sockets": 64`}, never...)...)
+	const places = 64/2 - 8
+	for range places {
+		g := p.dial()
+		g.send("preview", "x")
+		g.write(appendProbe(2, nil))
+		g.expectAnswer(2, "%!s(bool=true)") // the request has been taken in
+	}
+	f := p.dial()
+	f.send("preview", "x")
+	f.expectClosing()
+	for range places + 1 {
+		p.tell("outcome", await(p, p.commands, "launch").Req, "success", []byte("x"))
+	}
+	f.expectAnswer(1, "x")
 	f.expectEnd()
 }
 
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -15,7 +15,6 @@
 	"falldeal/internal/server"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 )
 
 const acceptPause = 50 * time.Millisecond // after a failed accept
@@ -67,20 +66,9 @@
 }
 
 // waits reports whether a connection waits to be accepted.
-func (f *Front) waits() (waits bool) {
+func (f *Front) waits() bool {
 	sc, ok := f.ln.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	err = raw.Control(func(fd uintptr) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		waits = n > 0 && err == nil
-	})
-	return waits && err == nil
+	return ok && readable(sc)
 }
 
 // rest accepts what waits already: a request may have been written to it, and would be lost with the listener.
@@ -147,21 +135,17 @@
 			case <-time.After(lingerMost):
 			}
 		}
+		c.Close() // a reader that waits
 		c.net.Close()
 		<-f.slots
 		return nil
 	})
 	g.Go(func() error {
-		err := c.read(s)
-		if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, errFinished) {
-			f.log.Warn("front end", "connection of a front end ended", err)
-		}
-		end := endOf(err)
-		if end == server.Left {
-			c.Close()
-		}
-		s.Closed(c, end)
-		c.linger()
+		c.serve(s, func(err error) {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, errFinished) {
+				f.log.Warn("front end", "connection of a front end ended", err)
+			}
+		})
 		return nil
 	})
 }
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,8 @@
 	queue chan []byte
 	once  sync.Once
 	stop  chan struct{}
+	owed  atomic.Int64 // messages that were queued and are not written yet
+	shut  sync.Once
 }
 
 // New returns an Outbox for conn in which up to room messages may wait.
@@ -37,6 +40,7 @@
 
 // Send queues b, which must not be changed any more. A peer that does not read loses the connection.
 func (o *Outbox) Send(b []byte) {
+	o.owed.Add(1)
 	select {
 	case o.queue <- b:
 	default:
@@ -48,9 +52,19 @@
 func (o *Outbox) Abort() { o.conn.Close() }
 
 func (o *Outbox) end() {
-	if side, ok := o.conn.(interface{ CloseWrite() error }); !o.half || !ok || side.CloseWrite() != nil {
-		o.conn.Close()
+	o.shut.Do(func() {
+		if side, ok := o.conn.(interface{ CloseWrite() error }); !o.half || !ok || side.CloseWrite() != nil {
+			o.conn.Close()
+		}
+	})
+}
+
+// CloseNow is Close for whoever calls Send: where nothing is left to be written, the connection is closed when it returns.
+func (o *Outbox) CloseNow() {
+	if o.owed.Load() == 0 {
+		o.end()
 	}
+	o.Close()
 }
 
 // Close has Run write what waits and then close the connection. It may be called more than once.
@@ -80,9 +94,11 @@
 // write writes b and what waits behind it. Most connections write little and seldom, so none has a
 // buffer of its own.
 func (o *Outbox) write(b []byte) error {
-	for len(o.queue) > 0 && len(b) < batch {
+	n := int64(1)
+	for ; len(o.queue) > 0 && len(b) < batch; n++ {
 		b = append(b[:len(b):len(b)], <-o.queue...)
 	}
+	defer func() { o.owed.Add(-n) }()
 	if err := o.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
--- a/internal/server/crossings_test.go
+++ b/internal/server/crossings_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -84,6 +85,79 @@
 	require.Equal(t, "close", p.got[3])
 }
 
+// A connection that is to be closed is found to be in use: something comes before it was read, between its last reading and
+// the close, or while what came has no answer yet. All of it is answered, and then the connection goes. One on which
+// messages come without an end goes as well.
+func TestMessageAgainstTheClose(t *testing.T) {
+	const finish, shut = "close", "close" // as peer notes them
+	for name, c := range map[string]struct {
+		comes []string
+		want  []any
+	}{
+		"nothing":      {nil, []any{finish, "end", shut}},
+		"before":       {[]string{"before"}, []any{finish, "closing", "resume", Served, finish, "end", shut}},
+		"between":      {[]string{"between"}, []any{finish, "end", "closing", "resume", Served, finish, "end", shut}},
+		"while in use": {[]string{"before", "after"}, []any{finish, "closing", "resume", Served, Served, finish, "end", shut}},
+		"without end":  {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, p, do := up(t)
+			calls := uint32(0)
+			come := func(when string) {
+				if !slices.Contains(c.comes, when) {
+					return
+				}
+				calls++
+				s.Submit(p, calls, Try{ID: when, Class: "preview", At: s.clock.now, Wait: 3 * time.Second, KB: 1})
+			}
+			turn := func() {
+				do()
+				s.step()
+				s.closeLeaving()
+			}
+			s.dropPeer(s.peers.of(p))
+			turn()
+			if name == "without end" {
+				p.comes = 100
+				for range looksMost {
+					require.False(t, s.peers.none())
+					s.Closed(p, Finished)
+					turn()
+				}
+				s.Closed(p, Finished)
+				turn()
+				require.Equal(t, shut, p.got[len(p.got)-1])
+				require.Len(t, p.got, looksMost+2)
+				require.True(t, s.peers.none())
+				return
+			}
+			come("before")
+			if name == "between" {
+				p.comes = 1
+			}
+			s.Closed(p, Finished)
+			turn()
+			if name == "between" {
+				come("between")
+				s.Closed(p, Finished)
+				turn()
+			}
+			come("after")
+			turn()
+			for _, when := range c.comes {
+				s.finish(s.byWire[when], decide.OK, nil)
+			}
+			turn()
+			if len(c.comes) > 0 {
+				s.Closed(p, Finished)
+				turn()
+			}
+			require.Equal(t, c.want, p.got)
+			require.True(t, s.peers.none())
+		})
+	}
+}
+
 // Readers wait for room in the input of the loop as that ends: what they have read is answered like what was in it. It was
 // left unread.
 func TestReadersThatWaitAgainstTheEnd(t *testing.T) {
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -55,7 +55,9 @@
 type Peer interface {
 	Answer(call uint32, a Answer)
 	Closing()      // no new request should come on this connection
-	Finish()       // read what has come by now and nothing more; Closed tells when that is done
+	Finish()       // read what has come by now and then wait; Closed tells when that is done
+	Resume()       // read on, after Finished or Silent
+	End() bool     // Close, unless something has come since Finished or Silent: then false, and that is read as by Finish
 	Close()        // after what was handed over is written
 	MostOpen() int // calls that may be open at once
 }
@@ -63,7 +65,8 @@
 // End tells why a connection ended.
 type End uint8
 
-// The kinds of End. After all but Left answers may still be written, and the server closes the Peer.
+// The kinds of End. After all but Left answers may still be written, and the server closes the Peer. After Silent and
+// Finished nothing is read until it is told what to do.
 const (
 	Left       End = iota // either side closed it, or the network did
 	Silent                // no message came, or one that did not end
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -11,6 +11,7 @@
 const (
 	idleCheck    = 100 * time.Millisecond // least time between looks for idle connections
 	closingGrace = 2 * time.Second        // for a peer to close after it was told to
+	looksMost    = 8                      // for a peer that was told to close to stop sending
 	sparePeers   = 8                      // connections left free, so that one more is accepted while an idle one ends
 )
 
@@ -32,13 +33,26 @@
 	said    bool          // it has sent a request or a health check that can be read
 	used    time.Duration // when a message last came or went, or it was told to go
 	closing bool          // it was told that it is closing
-	leaving bool          // it is being closed, and has no place any more: only what has come by now is read and answered
-	deaf    bool          // what it says is passed over
+	leaving leaving
+	looks   int  // how often what came was read on that way
+	deaf    bool // what it says is passed over
 
 	list *list.List // that it stands in: nil while a request is open
 	at   *list.Element
 }
 
+// leaving is how far a connection is on its way out. What comes on that way is answered, for bytes may arrive in the
+// moment in which it is closed: it goes once nothing is owed on it and nothing has come that was not read.
+type leaving uint8
+
+const (
+	staying leaving = iota
+	asked           // to read what has come
+	quiet           // nothing has come, and nothing is read until it is told what to do
+	inUse           // it reads as ever until what came has its answers; then it is asked again
+	over            // nothing more can be read
+)
+
 func (st *peerState) kind() peerKind {
 	switch {
 	case st.closing:
@@ -52,17 +66,16 @@
 // peerTable knows the connections, and those without an open request by how long they have been idle: what is
 // asked at each turn, or for each new connection, costs the same however many there are. Times never go back.
 type peerTable struct {
-	states map[Peer]*peerState
-	idle   [peerKinds]list.List // idle for longest first
-	opened int                  // open requests
-	left   int                  // states that are leaving
-	muted  []*peerState         // nothing is read from them any more; to be closed once nothing is open
+	states  map[Peer]*peerState
+	idle    [peerKinds]list.List // idle for longest first
+	opened  int                  // open requests
+	leaving []*peerState         // have no place any more, and are to be closed
 }
 
 func newPeerTable() peerTable { return peerTable{states: map[Peer]*peerState{}} }
 
 // size is how many connections there are, but for those that are being closed.
-func (t *peerTable) size() int { return len(t.states) - t.left }
+func (t *peerTable) size() int { return len(t.states) - len(t.leaving) }
 
 // none reports whether there is no connection at all.
 func (t *peerTable) none() bool { return len(t.states) == 0 }
@@ -82,23 +95,20 @@
 	t.take(st)
 	t.opened -= len(st.open)
 	delete(t.states, st.peer)
-	if st.leaving {
-		t.left--
+	if st.leaving != staying {
+		t.leaving = slices.DeleteFunc(t.leaving, func(other *peerState) bool { return other == st })
 	}
 }
 
-// leave notes that a connection is being closed. Nothing but its open requests keeps it.
-func (t *peerTable) leave(st *peerState) {
-	if !st.leaving {
-		st.leaving = true
-		t.left++
+// leave notes that a connection is being closed, and how far that is.
+func (t *peerTable) leave(st *peerState, step leaving) {
+	if st.leaving == staying {
+		t.leaving = append(t.leaving, st)
 		t.take(st)
 	}
+	st.leaving = step
 }
 
-// mute notes that nothing more is read from a connection that is leaving.
-func (t *peerTable) mute(st *peerState) { t.muted = append(t.muted, st) }
-
 // use notes that a message came or went.
 func (t *peerTable) use(st *peerState, now time.Duration) {
 	st.used = now
@@ -144,7 +154,7 @@
 // place puts a connection behind those of its kind that have been idle for longer.
 func (t *peerTable) place(st *peerState) {
 	t.take(st)
-	if len(st.open) > 0 || st.leaving {
+	if len(st.open) > 0 || st.leaving != staying {
 		return
 	}
 	st.list = &t.idle[st.kind()]
@@ -207,25 +217,31 @@
 // dropPeer closes a connection. A request that came before that may not have been read yet, where this process is
 // behind or the machine stood still: it is read, and answered. The place is free at once.
 func (s *Server) dropPeer(st *peerState) {
-	if !st.leaving {
+	if st.leaving == staying {
 		s.stats.ConnectionsClosed++
-		s.peers.leave(st)
+		s.peers.leave(st, asked)
 		st.peer.Finish()
 	}
 }
 
-// closeMuted closes the connections from which nothing more comes and on which nothing is owed any more.
-func (s *Server) closeMuted() {
-	s.peers.muted = slices.DeleteFunc(s.peers.muted, func(st *peerState) bool {
-		if len(st.open) > 0 {
-			return false
-		}
-		if s.peers.of(st.peer) == st {
+// closeLeaving takes connections that are leaving one step on.
+func (s *Server) closeLeaving() {
+	for _, st := range slices.Clone(s.peers.leaving) {
+		switch busy := len(st.open) > 0; {
+		case busy && st.leaving == quiet && !st.deaf:
+			st.leaving = inUse
+			st.peer.Resume()
+		case busy, st.leaving == asked:
+		case st.leaving == inUse:
+			st.leaving = asked
+			st.peer.Finish()
+		case st.leaving == quiet && !st.deaf && !st.peer.End():
+			st.leaving = asked
+		default:
 			s.peers.remove(st)
 			st.peer.Close()
 		}
-		return true
-	})
+	}
 }
 
 // forgetPeer strikes off a connection: nobody waits for answers on it.
--- a/internal/server/peers_test.go
+++ b/internal/server/peers_test.go
@@ -90,7 +90,7 @@
 		s.Opened(p)
 		do()
 		require.LessOrEqual(t, s.peers.size(), most)
-		if st := s.peers.of(p); st != nil {
+		if st := s.peers.of(p); st.leaving == staying {
 			s.peers.open(st, 1, &request{})
 		} else {
 			require.Equal(t, []any{"close"}, p.got)
@@ -174,4 +174,6 @@
 		p.server.Closed(p, Finished)
 	}
 }
+func (p *countingPeer) Resume()       {}
+func (p *countingPeer) End() bool     { return true }
 func (p *countingPeer) MostOpen() int { return 32 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -206,7 +206,7 @@
 	s.deadlines.Sweep(s.clock.now)
 	s.stats.Turns++
 	s.step()
-	s.closeMuted()
+	s.closeLeaving()
 	s.watchIdle()
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -14,12 +14,17 @@
 )
 
 // peer notes what it is handed.
-type peer struct{ got []any }
+type peer struct {
+	got          []any
+	looks, comes int // calls of End, and how many of them find that something has come
+}
 
 func (p *peer) Answer(call uint32, a Answer) { p.got = append(p.got, a.Kind) }
 func (p *peer) Closing()                     { p.got = append(p.got, "closing") }
 func (p *peer) Close()                       { p.got = append(p.got, "close") }
 func (p *peer) Finish()                      { p.got = append(p.got, "close") }
+func (p *peer) Resume()                      { p.got = append(p.got, "resume") }
+func (p *peer) End() bool                    { p.got = append(p.got, "end"); p.looks++; return p.looks > p.comes }
 func (p *peer) MostOpen() int                { return 2 }
 
 // idle returns a server that does not run; do carries out what was posted to it.
--- a/internal/server/take.go
+++ b/internal/server/take.go
@@ -29,35 +29,41 @@
 func (s *Server) Opened(p Peer) {
 	s.post(func() {
 		s.stats.Connections++
-		if s.peers.size() >= s.mostPeers() && !s.makeRoom() {
-			s.stats.ConnectionsClosed++
-			p.Close()
-			return
-		}
-		if st := s.peers.add(p, s.clock.now); s.drain.on {
+		full := s.peers.size() >= s.mostPeers() && !s.makeRoom()
+		st := s.peers.add(p, s.clock.now)
+		if s.drain.on {
 			s.tellClosing(st)
 		}
+		if full { // a request on it may have waited for its place for long
+			s.dropPeer(st)
+		}
 	})
 }
 
-// Closed tells that nothing more is read from a connection. Where it has ended, nobody waits for answers on it; else
-// what was read before is still answered.
+// Closed tells that nothing more is read from a connection, for now or for good. Where it has ended, nobody waits for
+// answers on it; else what was read before is still answered.
 func (s *Server) Closed(p Peer, why End) {
 	s.post(func() {
-		switch why {
-		case Silent:
+		st := s.peers.of(p)
+		switch {
+		case why == Silent && (st == nil || st.leaving == staying):
 			s.stats.Silent++
-		case Unreadable:
+		case why == Unreadable:
 			s.stats.Unreadable++
 		}
-		st := s.peers.of(p)
 		switch {
 		case st == nil:
 		case why == Left:
 			s.forgetPeer(st)
+		case why == Unreadable:
+			s.peers.leave(st, over)
 		default:
-			s.peers.leave(st)
-			s.peers.mute(st)
+			if why == Finished && len(st.open) > 0 && !st.deaf {
+				s.tellClosing(st) // it is in use after all
+			}
+			s.peers.leave(st, quiet)
+			st.looks++
+			st.deaf = st.deaf || st.looks > looksMost
 		}
 	})
 }
