A front end that sends on a connection that leaves is told so, whatever the cause

Told at the first request that comes on that way, for all causes, in place of one cause. TestMessageAgainstTheClose has the order; the tests over sockets stay as they are.

--- a/internal/server/take.go
+++ b/internal/server/take.go
@@ -58,9 +58,6 @@
 		case why == Unreadable:
 			s.peers.leave(st, over)
 		default:
-			if why == Finished && len(st.open) > 0 && !st.deaf {
-				s.tellClosing(st) // it is in use after all
-			}
 			s.peers.leave(st, quiet)
 			st.looks++
 			st.deaf = st.deaf || st.looks > looksMost
@@ -77,6 +74,9 @@
 		}
 		s.peers.heard(st, s.clock.now)
 		s.stats.Requests++
+		if st.leaving != staying {
+			s.tellClosing(st) // it is in use after all
+		}
 		last := st.last
 		st.last = max(last, call)
 		switch {
