A drain against what is in hand: outcome, cancel, disconnect and deadline, each before and after its shut

docs/crossings.md had cancelRequest and disconnect against an outcome, and not against the end of a process. The test is over sockets, both orders; nothing was wrong there.

--- a/internal/msgpackrpc/crossings_test.go
+++ b/internal/msgpackrpc/crossings_test.go
@@ -436,3 +436,66 @@
 	p.tell("outcome", next, "success", []byte("y"))
 	f.expectAnswer(6, "y")
 }
+
+// A request in hand is answered, given up or too late, or its front end goes, before or after a drain has shut the listener:
+// it has one answer or none, and the process ends by itself, long before it must, with its last connection.
+func TestDrainAgainstWhatIsInHand(t *testing.T) {
+	t.Parallel()
+	for _, event := range []string{"outcome", "cancel", "leave", "deadline"} {
+		for _, first := range []string{event, "drain"} {
+			t.Run(event+", first "+first, func(t *testing.T) {
+				t.Parallel()
+				p := start(t, append([]string{`"stop_ms": 3200`, `"stop_ms": 3000000`, `"StopSendingWithinUs": 2500000`,
+					`"StopSendingWithinUs": 1`}, never...)...)
+				f := p.dial()
+				wait := "600000"
+				if event == "deadline" {
+					wait = "3000"
+				}
+				run := f.send("preview", "x", "wait", wait)
+				p.expect("launch", run)
+				happens := func() {
+					switch event {
+					case "outcome":
+						p.tell("outcome", run, "success", []byte("x"))
+					case "cancel":
+						f.write(appendCancel(1))
+					case "leave":
+						f.net.Close()
+					}
+				}
+				answered := func() {
+					switch event {
+					case "outcome":
+						f.expectAnswer(1, "x")
+					case "deadline":
+						f.expectAnswer(1, errFailed)
+					}
+				}
+				if first == event {
+					happens()
+					answered()
+				}
+				p.server.Drain()
+				p.server.Drain()
+				if event == "deadline" && first == "drain" { // on a slow machine it may still be the first
+					var kinds []any
+					for range 2 {
+						v, err := f.in.next()
+						require.NoError(t, err)
+						kinds = append(kinds, v.(arrayValue)[0])
+					}
+					require.ElementsMatch(t, []any{int64(kindAnswer), int64(kindNotification)}, kinds)
+				} else if first == "drain" {
+					f.expectClosing()
+					happens()
+					answered()
+				} else if event != "leave" {
+					f.expectClosing()
+				}
+				f.net.Close()
+				require.NoError(t, await(p, p.over, "end of the server"))
+			})
+		}
+	}
+}
