--- a/internal/msgpackrpc/crossings_test.go
+++ b/internal/msgpackrpc/crossings_test.go
@@ -512,3 +512,72 @@
 		}
 	}
 }
+
+// A configuration with a longer time for arrivals comes before or after the notice, over which a request then comes: the time
+// in force at the notice counts.
+func TestReloadAgainstTheNotice(t *testing.T) {
+	t.Parallel()
+	for _, first := range []string{"reload", "notice"} {
+		t.Run(first, func(t *testing.T) {
+			t.Parallel()
+			p := start(t, append([]string{`"stop_ms": 3200`, `"stop_ms": 3000000`, `"StopSendingWithinUs": 2500000`,
+				`"StopSendingWithinUs": 1`}, never...)...)
+			f := p.dial()
+			f.write(appendProbe(1, nil))
+			f.expectAnswer(1, "%!s(bool=true)")
+			f.next = 1
+			longer := *p.cfg
+			longer.Settings.DrainGrace = time.Hour
+			if first == "reload" {
+				p.server.Reload(&longer, nil)
+			}
+			p.server.Drain()
+			f.expectClosing()
+			if first == "notice" {
+				p.server.Reload(&longer, nil)
+			}
+			run := f.send("preview", "x", "at", fmt.Sprint(time.Now().Add(500*time.Millisecond).UnixMilli())) // after the notice
+			if first == "reload" {
+				p.expect("launch", run)
+				p.tell("outcome", run, "success", []byte("x"))
+				f.expectAnswer(2, "x")
+				return
+			}
+			f.expectAnswer(2, errRefused)
+			require.Empty(t, p.commands)
+			f.net.Close()
+			require.NoError(t, await(p, p.over, "end of the server"))
+		})
+	}
+}
+
+// An order comes again before or after its run is lost with the agent: both tries are answered as failed, once, and the order
+// is not run again.
+func TestRepeatAgainstALostRun(t *testing.T) {
+	t.Parallel()
+	for _, first := range []string{"repeat", "loss"} {
+		t.Run(first, func(t *testing.T) {
+			t.Parallel()
+			p := start(t, never...)
+			f, g := p.dial(), p.dial()
+			p.expect("launch", f.send("licence-order", "order", "once", "ab12"))
+			if first == "repeat" {
+				g.send("licence-order", "order", "once", "ab12")
+				g.write(appendProbe(2, nil))
+				g.expectAnswer(2, "%!s(bool=true)") // the repeat has been taken in
+			}
+			p.cut()
+			p.expect("subscribe", "")
+			p.greet <- "booting" // and just started
+			f.expectAnswer(1, errFailed)
+			if first == "loss" {
+				g.send("licence-order", "order", "once", "ab12")
+			}
+			g.expectAnswer(1, errFailed)
+			p.expect("subscribe", "")
+			p.offset = 0
+			p.greet <- "booting"
+			p.quiet()
+		})
+	}
+}
--- a/internal/msgpackrpc/peers_test.go
+++ b/internal/msgpackrpc/peers_test.go
@@ -30,6 +30,7 @@
 type peers struct {
 	*testing.T
 	server   *server.Server
+	cfg      *config.Config // that it was started with; not to be changed
 	addr     string
 	over     chan error
 	commands chan command  // what the agent is told, besides samples
@@ -107,7 +108,7 @@
 	front, err := Inherit(uintptr(fd), most, logging.NewLimiter(log))
 	require.NoError(t, err)
 	p.addr = front.Addr().String()
-	p.server = server.New(cfg, log)
+	p.cfg, p.server = cfg, server.New(cfg, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { p.over <- p.server.Run(ctx, front) }()
 	go p.serveAgent(agent)
