Agent link: log and count the commands sent again after a break of the link

Three causes were thinkable, and neither log nor metric told them apart: the store's replies are mixed up; a reply is sent again although the notification of the run's next call had been read; or it is sent again before that notification could be read.

Change: after a disconnection one line says how many commands are sent again that the agent may have read, how many of them are replies to calls, and the offset of the last notification read by then. The counter replies_unacknowledged adds the replies up. A command knows whether it was ever sent: one that waited for a connection does not count.

--- a/internal/agent/command_log.go
+++ b/internal/agent/command_log.go
@@ -8,6 +8,7 @@
 	requestID     string // a notification about this request proves that the command was read
 	line          []byte // encoded command
 	nonIdempotent bool   // may cause harm if the agent reads it twice
+	sent          bool   // on some connection; the agent may have read it
 }
 
 // commandLog numbers commands and samples, and keeps the commands that the agent is not known to have read. It belongs to
@@ -38,15 +39,33 @@
 	c.unacknowledged = slices.DeleteFunc(c.unacknowledged, func(sent command) bool { return sent.requestID == requestID })
 }
 
+// hasNonIdempotent reports whether a command that is not idempotent is unacknowledged.
 func (c *commandLog) hasNonIdempotent() bool {
 	return slices.ContainsFunc(c.unacknowledged, func(sent command) bool { return sent.nonIdempotent })
 }
 
-// lines returns the encoded unacknowledged commands in the order of sending, or nil if there are none.
-func (c *commandLog) lines() []byte {
-	var lines []byte
+// countSent returns the number of unacknowledged commands that the agent may have read, and how many of these are not
+// idempotent.
+func (c *commandLog) countSent() (all, nonIdempotent int) {
 	for _, sent := range c.unacknowledged {
-		lines = append(lines, sent.line...)
+		if !sent.sent {
+			continue
+		}
+		all++
+		if sent.nonIdempotent {
+			nonIdempotent++
+		}
+	}
+	return all, nonIdempotent
+}
+
+// takeLines returns the encoded unacknowledged commands in the order of sending, or nil if there are none, and marks them
+// as sent.
+func (c *commandLog) takeLines() []byte {
+	var lines []byte
+	for i := range c.unacknowledged {
+		c.unacknowledged[i].sent = true
+		lines = append(lines, c.unacknowledged[i].line...)
 	}
 	return lines
 }
--- a/internal/agent/command_test.go
+++ b/internal/agent/command_test.go
@@ -22,20 +22,20 @@
 // be sent again. The others must be sent again in order.
 func TestCommandLogKeepsUnacknowledgedCommands(t *testing.T) {
 	var log commandLog
-	require.Nil(t, log.lines())
+	require.Nil(t, log.takeLines())
 	log.add(command{requestID: "a", line: []byte("1\n")})
 	require.EqualValues(t, 2, log.nextSequence())
 	log.add(command{requestID: "b", line: []byte("3\n"), nonIdempotent: true})
 	log.add(command{requestID: "a", line: []byte("4\n")})
 	require.EqualValues(t, 5, log.nextSequence())
 	log.add(command{requestID: "c", line: []byte("6\n")})
-	require.Equal(t, "1\n3\n4\n6\n", string(log.lines()))
+	require.Equal(t, "1\n3\n4\n6\n", string(log.takeLines()))
 	log.acknowledge(3)
-	require.Equal(t, "3\n4\n6\n", string(log.lines()))
+	require.Equal(t, "3\n4\n6\n", string(log.takeLines()))
 	require.True(t, log.hasNonIdempotent())
 	log.removeRequest("a")
-	require.Equal(t, "3\n6\n", string(log.lines()))
+	require.Equal(t, "3\n6\n", string(log.takeLines()))
 	log.acknowledge(4)
-	require.Equal(t, "6\n", string(log.lines()))
+	require.Equal(t, "6\n", string(log.takeLines()))
 	require.False(t, log.hasNonIdempotent())
 }
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -64,9 +64,12 @@
 
 	current           *connection // nil: disconnected
 	connectionsOpened uint64
-	incarnation       incarnation // of the agent connected last
-	lastOffset        int64       // offset of the last numbered notification read; 0: none
-	commands          commandLog
+	// Replies to calls that the agent was not known to have read after a disconnection.
+	repliesUnacknowledged uint64
+
+	incarnation incarnation // of the agent connected last
+	lastOffset  int64       // offset of the last numbered notification read; 0: none
+	commands    commandLog
 }
 
 // New returns a Link that calls handler. It sends nothing before Run is called.
@@ -95,6 +98,10 @@
 // ConnectionsOpened returns the number of connections opened so far.
 func (l *Link) ConnectionsOpened() uint64 { return l.connectionsOpened }
 
+// RepliesUnacknowledged returns the number of replies to calls so far that the agent was not known to have read after a
+// disconnection.
+func (l *Link) RepliesUnacknowledged() uint64 { return l.repliesUnacknowledged }
+
 // Launch runs a request. The command is sent as soon as a connection accepts commands, and again after a disconnection
 // unless the agent is known to have read it.
 func (l *Link) Launch(requestID, class string, payload []byte) {
@@ -155,8 +162,9 @@
 
 // sendCommand numbers a command and sends it, at once or when a connection accepts commands.
 func (l *Link) sendCommand(added command) {
+	added.sent = l.state() == ready
 	l.commands.add(added)
-	if l.state() == ready {
+	if added.sent {
 		l.current.queue.Send(added.line)
 	}
 }
--- a/internal/agent/receive.go
+++ b/internal/agent/receive.go
@@ -145,6 +145,22 @@
 	}
 }
 
+// reportUnacknowledged counts and logs the commands that were sent on an earlier connection and that the agent is not known
+// to have read, after all notifications published until then have arrived. Field last_offset is the offset of the last of
+// these: a call with a higher offset was requested after the commands were sent again.
+func (l *Link) reportUnacknowledged() {
+	commands, replies := l.commands.countSent()
+	if commands == 0 {
+		return
+	}
+	l.repliesUnacknowledged += uint64(replies)
+	l.log.WarnFields("agent resend", "commands sent again to the agent, which may have read them", nil, logrus.Fields{
+		"commands":    commands,
+		"replies":     replies,
+		"last_offset": l.lastOffset,
+	})
+}
+
 // becomeReady lets the current connection accept commands and sends the unacknowledged commands again. If notifications were
 // lost, it first calls OnLost.
 func (l *Link) becomeReady() {
@@ -153,7 +169,8 @@
 		l.log.Warn("agent gap", "agent notifications lost, runs in flight abandoned", nil)
 		l.handler.OnLost()
 	}
-	if lines := l.commands.lines(); len(lines) > 0 {
+	l.reportUnacknowledged()
+	if lines := l.commands.takeLines(); len(lines) > 0 {
 		l.current.queue.Send(lines) // as one message: the write queue may not have room for all of them
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -142,6 +142,7 @@
 
 func (s *Server) logCounters() {
 	s.stats.AgentConnections = s.agent.ConnectionsOpened()
+	s.stats.RepliesUnacknowledged = s.agent.RepliesUnacknowledged()
 	s.stats.StoreConnections = s.store.ConnectionsOpened()
 	s.stats.Log(s.log, stats.Gauges{
 		ActiveRequests:  s.requests.size(),
--- a/internal/stats/counters.go
+++ b/internal/stats/counters.go
@@ -46,6 +46,9 @@
 	CallsUnreachable uint64 // not sent, as no connection could be opened
 	CallsAborted     uint64 // ended by the loss of their connection; logged as calls_broken
 
+	// Replies to calls that the agent was not known to have read after a disconnection; logged as replies_unacknowledged.
+	RepliesUnacknowledged uint64
+
 	// Connections opened to the agent and the store.
 	AgentConnections uint64 // logged as agent_links
 	StoreConnections uint64 // logged as store_links
@@ -132,23 +135,24 @@
 // dependencyFields returns the counters of runs at the agent and calls to the store.
 func (c *Counters) dependencyFields() logrus.Fields {
 	return logrus.Fields{
-		"runs":              c.Runs,
-		"runs_failed":       c.RunsFailed,
-		"runs_interrupted":  c.RunsInterrupted,
-		"runs_moot":         c.RunsNotStarted,
-		"commands_refused":  c.CommandsRejected,
-		"exercises":         c.DeepChecks,
-		"calls":             c.Calls,
-		"calls_dropped":     c.CallsAbandoned,
-		"skips":             c.CallsSkipped,
-		"calls_ok":          c.CallsOK,
-		"calls_busy":        c.CallsRejected,
-		"calls_failed":      c.CallsFailed,
-		"calls_late":        c.CallsTimedOut,
-		"calls_unreachable": c.CallsUnreachable,
-		"calls_broken":      c.CallsAborted,
-		"agent_links":       c.AgentConnections,
-		"store_links":       c.StoreConnections,
+		"runs":                   c.Runs,
+		"runs_failed":            c.RunsFailed,
+		"runs_interrupted":       c.RunsInterrupted,
+		"runs_moot":              c.RunsNotStarted,
+		"commands_refused":       c.CommandsRejected,
+		"exercises":              c.DeepChecks,
+		"calls":                  c.Calls,
+		"calls_dropped":          c.CallsAbandoned,
+		"skips":                  c.CallsSkipped,
+		"calls_ok":               c.CallsOK,
+		"calls_busy":             c.CallsRejected,
+		"calls_failed":           c.CallsFailed,
+		"calls_late":             c.CallsTimedOut,
+		"calls_unreachable":      c.CallsUnreachable,
+		"calls_broken":           c.CallsAborted,
+		"replies_unacknowledged": c.RepliesUnacknowledged,
+		"agent_links":            c.AgentConnections,
+		"store_links":            c.StoreConnections,
 	}
 }
 
