Agent link: deliver a reply to a run's call at most once

Callers saw: a request was answered 'served' with a result that its run had made of wrong data. After a break of the link to the agent the run got the reply to its first call again, for its second.

Cause: `deliver` has no number, so the agent gives it to whatever call the run waits for. becomeReady sent every command again that was not known to have been read, replies too, and the run may come to its next call at any moment after the last notification that the new link brought.

Why this works: a reply that was sent on an earlier connection and is not known to have been read is never sent again, so the agent can't read one twice. The run goes on by `forgo`, which names its call, where the class allows a result without the call; a `forgo` for a call that has its reply is rejected. Elsewhere the run is awaited until the latency objective of its request and then given up: the request fails, and the agent ends the run. A reply that was never sent is sent, with a sample behind it, which was missing.

Tests: TestReplyReadBeforeLinkBreakIsNotDeliveredAgain failed before the fix in both classes ("expected forgo, actual deliver"; "Should be empty" with the deliver in the queue).

--- a/internal/agent/command_log.go
+++ b/internal/agent/command_log.go
@@ -2,12 +2,13 @@
 
 import "slices"
 
-// command is a command that is sent again after a disconnection, unless the agent is known to have read it.
+// command is a command that the agent is not known to have read. After a disconnection it is sent again, unless it is not
+// idempotent and the agent may have read it.
 type command struct {
 	sequence      int64  // in the order of sending; samples are numbered in the same sequence
 	requestID     string // a notification about this request proves that the command was read
 	line          []byte // encoded command
-	nonIdempotent bool   // may cause harm if the agent reads it twice
+	nonIdempotent bool   // causes harm if the agent reads it twice
 	sent          bool   // on some connection; the agent may have read it
 }
 
@@ -44,19 +45,28 @@
 	return slices.ContainsFunc(c.unacknowledged, func(sent command) bool { return sent.nonIdempotent })
 }
 
-// countSent returns the number of unacknowledged commands that the agent may have read, and how many of these are not
-// idempotent.
-func (c *commandLog) countSent() (all, nonIdempotent int) {
-	for _, sent := range c.unacknowledged {
-		if !sent.sent {
-			continue
-		}
-		all++
-		if sent.nonIdempotent {
-			nonIdempotent++
+// countSent returns the number of unacknowledged commands that the agent may have read.
+func (c *commandLog) countSent() int {
+	count := 0
+	for _, unacknowledged := range c.unacknowledged {
+		if unacknowledged.sent {
+			count++
 		}
 	}
-	return all, nonIdempotent
+	return count
+}
+
+// removeSentNonIdempotent removes the commands that must not be sent again: those that the agent may have read and that are
+// not idempotent. It returns the IDs of their requests.
+func (c *commandLog) removeSentNonIdempotent() (requestIDs []string) {
+	c.unacknowledged = slices.DeleteFunc(c.unacknowledged, func(unacknowledged command) bool {
+		if !unacknowledged.sent || !unacknowledged.nonIdempotent {
+			return false
+		}
+		requestIDs = append(requestIDs, unacknowledged.requestID)
+		return true
+	})
+	return requestIDs
 }
 
 // takeLines returns the encoded unacknowledged commands in the order of sending, or nil if there are none, and marks them
--- a/internal/agent/command_test.go
+++ b/internal/agent/command_test.go
@@ -18,6 +18,19 @@
 	}
 }
 
+// Of the commands that may have been read, those that are not idempotent must be removed, so that they are not sent again. One
+// that was never sent must stay.
+func TestCommandLogRemovesNonIdempotentCommands(t *testing.T) {
+	var log commandLog
+	log.add(command{requestID: "a", line: []byte("1\n"), nonIdempotent: true, sent: true})
+	log.add(command{requestID: "b", line: []byte("2\n"), sent: true})
+	log.add(command{requestID: "c", line: []byte("3\n"), nonIdempotent: true})
+	require.Equal(t, 2, log.countSent())
+	require.Equal(t, []string{"a"}, log.removeSentNonIdempotent())
+	require.Equal(t, "2\n3\n", string(log.takeLines()))
+	require.Equal(t, 2, log.countSent())
+}
+
 // Commands that an answered sample acknowledges, and commands about a request for which a notification has arrived, must not
 // be sent again. The others must be sent again in order.
 func TestCommandLogKeepsUnacknowledgedCommands(t *testing.T) {
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -8,6 +8,12 @@
 // Commands have no number. A Link keeps a command until it knows that the agent has read it: the agent answers a sample
 // that was sent later on the same connection, or sends a notification about the same request. The Link sends the remaining
 // commands again on the next connection, after the missed notifications have arrived.
+//
+// A reply to a store call is delivered at most once. The protocol does not say which call a reply is for: the agent passes it
+// to the call that the run waits for when it reads the reply. A reply that was read before the disconnection, and is read
+// again after the run has come to its next call, would answer that call. The run may come to it at any time, so no
+// notification read so far excludes it. A reply that may have been read is therefore not sent again but reported to the
+// Handler, which decides what becomes of the run.
 package agent
 
 import (
@@ -52,6 +58,11 @@
 	// OnLost is called when notifications are lost, and with them possibly the outcomes of runs in flight: the agent no
 	// longer had them after a disconnection, or was restarted.
 	OnLost func()
+	// OnReplyUnacknowledged is called once a connection is ready again, for each reply that was sent before the
+	// disconnection and that the agent is not known to have read. The reply is not sent again. If the agent has not read it,
+	// the run waits for the call of its last CallRequest until SkipCall, or until the agent learns that the request needs no
+	// answer; otherwise the run continues, and its next notification proves that.
+	OnReplyUnacknowledged func(requestID string)
 }
 
 // Link is the link to the agent. All methods except Run are called on the loop and do not block.
@@ -62,10 +73,9 @@
 	gauges      []string // names, in the order in which the agent reports them
 	log         *logging.Limiter
 
-	current           *connection // nil: disconnected
-	connectionsOpened uint64
-	// Replies to calls that the agent was not known to have read after a disconnection.
-	repliesUnacknowledged uint64
+	current               *connection // nil: disconnected
+	connectionsOpened     uint64
+	repliesUnacknowledged uint64 // sent before a disconnection; the agent is not known to have read them
 
 	incarnation incarnation // of the agent connected last
 	lastOffset  int64       // offset of the last numbered notification read; 0: none
@@ -108,10 +118,9 @@
 	l.sendCommand(command{requestID: requestID, line: encodeLaunch(requestID, class, payload)})
 }
 
-// Reply passes a run the reply to the store call that it waits for. The protocol does not number replies: a reply that is sent
-// again after a disconnection would answer the run's next call, if the agent had read it the first time. Reply therefore
-// sends a sample at once if none was sent since the last input, instead of waiting for SampleGauges. The agent can then read a
-// reply twice only if it was sent within about the last round trip before a disconnection.
+// Reply passes a run the reply to the store call that it waits for. The reply is sent once: if the agent is not known to have
+// read it before a disconnection, the Handler's OnReplyUnacknowledged is called. So that this is rare, Reply sends a sample at
+// once if none was sent since the last input, instead of waiting for SampleGauges.
 func (l *Link) Reply(requestID string, payload []byte) {
 	l.sendCommand(command{requestID: requestID, line: encodeReply(requestID, payload), nonIdempotent: true})
 	if l.state() == ready && l.current.unansweredSamples == 0 {
--- a/internal/agent/receive.go
+++ b/internal/agent/receive.go
@@ -145,32 +145,40 @@
 	}
 }
 
+// becomeReady lets the current connection accept commands. It sends the unacknowledged commands, except for the replies that
+// the agent may have read before the disconnection; these it passes to OnReplyUnacknowledged. If notifications were lost, it
+// first calls OnLost.
+func (l *Link) becomeReady() {
+	l.current.state = ready
+	if l.current.replay == replayGap {
+		l.log.Warn("agent gap", "agent notifications lost, runs in flight abandoned", nil)
+		l.handler.OnLost()
+	}
+	commands := l.commands.countSent()
+	replies := l.commands.removeSentNonIdempotent()
+	l.reportUnacknowledged(commands, len(replies))
+	if lines := l.commands.takeLines(); len(lines) > 0 {
+		l.current.queue.Send(lines) // as one message: the write queue may not have room for all of them
+	}
+	if l.commands.hasNonIdempotent() {
+		l.sendSample()
+	}
+	for _, requestID := range replies {
+		l.handler.OnReplyUnacknowledged(requestID)
+	}
+}
+
 // reportUnacknowledged counts and logs the commands that were sent on an earlier connection and that the agent is not known
 // to have read, after all notifications published until then have arrived. Field last_offset is the offset of the last of
-// these: a call with a higher offset was requested after the commands were sent again.
-func (l *Link) reportUnacknowledged() {
-	commands, replies := l.commands.countSent()
+// these. replies of the commands are replies to calls, which are not sent again; the others are.
+func (l *Link) reportUnacknowledged(commands, replies int) {
 	if commands == 0 {
 		return
 	}
 	l.repliesUnacknowledged += uint64(replies)
-	l.log.WarnFields("agent resend", "commands sent again to the agent, which may have read them", nil, logrus.Fields{
+	l.log.WarnFields("agent resend", "commands to the agent unacknowledged at a disconnection", nil, logrus.Fields{
 		"commands":    commands,
 		"replies":     replies,
 		"last_offset": l.lastOffset,
 	})
 }
-
-// becomeReady lets the current connection accept commands and sends the unacknowledged commands again. If notifications were
-// lost, it first calls OnLost.
-func (l *Link) becomeReady() {
-	l.current.state = ready
-	if l.current.replay == replayGap {
-		l.log.Warn("agent gap", "agent notifications lost, runs in flight abandoned", nil)
-		l.handler.OnLost()
-	}
-	l.reportUnacknowledged()
-	if lines := l.commands.takeLines(); len(lines) > 0 {
-		l.current.queue.Send(lines) // as one message: the write queue may not have room for all of them
-	}
-}
--- a/internal/msgpackrpc/harness_test.go
+++ b/internal/msgpackrpc/harness_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +43,8 @@
 	handshake  chan string       // state to report in the next handshake, which waits for it
 	storeCalls chan storeCall
 
+	breakOnReply atomic.Bool // the agent closes its connection as soon as it has read a reply to a call
+
 	mu         sync.Mutex
 	agentConn  net.Conn
 	lastOffset int
@@ -152,6 +155,9 @@
 			if err := json.Unmarshal(lines.Bytes(), &command); err != nil {
 				p.Errorf("agent received an invalid command %q: %v", lines.Text(), err)
 			}
+			if command.Cmd == "deliver" && p.breakOnReply.Load() {
+				agentConn.Close()
+			}
 			if command.Cmd != "sample" {
 				p.commands <- command
 			}
--- a/internal/msgpackrpc/lifecycle_test.go
+++ b/internal/msgpackrpc/lifecycle_test.go
@@ -48,6 +48,40 @@
 	client.expectAnswer(4, codeInternal)
 }
 
+// Guards against a run that gets the reply to its first call again, for its second: the agent has read the first reply when its
+// link breaks, and the run then comes to its second call.
+func TestReplyReadBeforeLinkBreakIsNotDeliveredAgain(t *testing.T) {
+	t.Parallel()
+	for _, class := range []string{"licence-order", "preview"} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			peers := startServer(t)
+			client := peers.dial()
+			id := client.sendRequest(class, "x", "once", "ab12")
+			peers.expectCommand("launch", id)
+			peers.agentSends("request", id, "", []byte("first call"))
+			call := await(peers, peers.storeCalls, "call")
+			peers.breakOnReply.Store(true)
+			fmt.Fprintf(call, "%s OK 5\r\nfirst\r\n", id)
+			require.Equal(t, "first", string(peers.expectCommand("deliver", id).Payload))
+			peers.expectCommand("subscribe", "")
+			peers.breakOnReply.Store(false)
+			peers.handshake <- "steady"
+			if class == "preview" { // may do without its call: the agent ignores the command for a call that has its reply
+				require.Equal(t, 1, peers.expectCommand("forgo", id).Offset)
+			}
+			peers.expectNoCommand()
+			peers.agentSends("request", id, "", []byte("second call"))
+			call = await(peers, peers.storeCalls, "call")
+			require.Equal(t, "second call", call.body)
+			fmt.Fprintf(call, "%s OK 6\r\nsecond\r\n", id)
+			require.Equal(t, "second", string(peers.expectCommand("deliver", id).Payload))
+			peers.agentSends("outcome", id, "success", []byte("result"))
+			client.expectAnswer(1, "result")
+		})
+	}
+}
+
 // A client cancels or disconnects before or after the outcome of its run arrives. It must get no further answer, nothing may
 // run twice, and a retry must be answered with the result.
 func TestCancelAndOutcomeInEitherOrder(t *testing.T) {
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -95,6 +95,11 @@
 	return s.clock.fromUnix(request.attempt.ArrivedAt) + request.attempt.Timeout
 }
 
+// latencyObjective returns until when the answer to a request has its full value, on the clock of the loop.
+func (s *Server) latencyObjective(request *activeRequest) time.Duration {
+	return s.clock.fromUnix(request.attempt.ArrivedAt) + s.config.Settings.Classes[request.class].LatencyObjective
+}
+
 // submitToController submits a request to the controller. It answers Invalid if the key belongs to a request with another
 // body.
 func (s *Server) submitToController(request *activeRequest) {
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -72,6 +72,32 @@
 	s.admission.enqueue(admission.CallCompleted(request.id, admission.Completion{Outcome: outcome, Duration: took}))
 }
 
+// handleReplyUnacknowledged decides what becomes of a run whose last reply the agent may not have read before the link broke.
+// If the request may do without its call, the agent is told to skip it: the command names the call, and is rejected if the run
+// has gone on with the reply. Otherwise the run is awaited, since it may have gone on.
+func (s *Server) handleReplyUnacknowledged(id string) {
+	request := s.requests.byAttemptID[id]
+	if request == nil || !request.running() || request.answered {
+		return
+	}
+	if s.config.Settings.Classes[request.class].DegradedValueRatio > 0 {
+		s.agent.SkipCall(id, request.callOffset)
+		return
+	}
+	s.awaitProgress(request)
+}
+
+// awaitProgress fails a request whose run has not gone on by the latency objective of the request: it then probably waits for
+// a reply that it will not get. The agent ends a run at a call once its request is answered.
+func (s *Server) awaitProgress(request *activeRequest) {
+	offset := request.callOffset
+	s.deadlines.Add(s.latencyObjective(request), func() {
+		if s.requests.contains(request) && !request.answered && request.callOffset == offset {
+			s.abandonRun(request)
+		}
+	})
+}
+
 func (s *Server) countReply(reply store.Result) {
 	switch reply {
 	case store.OK:
--- a/internal/server/respond.go
+++ b/internal/server/respond.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// abandonRun answers a request as Failed, because its run may wait for a reply to its call that was lost. The run may also have
+// got that reply; its outcome then answers retries.
+func (s *Server) abandonRun(request *activeRequest) {
+	request.trace.reason = reasonReplyUnacknowledged
+	s.answer(request, Answer{Kind: Failed})
+	s.admission.enqueue(admission.RequestCancelled(request.id))
+}
+
 // handleOutcome handles the outcome of a run.
 func (s *Server) handleOutcome(run agent.RunOutcome) {
 	request := s.requests.byAttemptID[run.RequestID]
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,7 +82,11 @@
 	s.agent = agent.New(
 		agent.Config{Address: cfg.Agent, Gauges: cfg.Gauges, Seed: cfg.Seed},
 		agent.Loop{Post: s.post, Now: now},
-		agent.Handler{OnNotification: s.handleAgentNotification, OnLost: s.handleRunsLost},
+		agent.Handler{
+			OnNotification:        s.handleAgentNotification,
+			OnLost:                s.handleRunsLost,
+			OnReplyUnacknowledged: s.handleReplyUnacknowledged,
+		},
 		s.warnings)
 	loop := store.Loop{Post: s.post, Now: now, Deadlines: s.deadlines}
 	s.store = store.New(
