Agent link: send a reply only after a sample has shown that the agent reads

Need: since replies are delivered at most once, one that is lost unread costs its call: the run skips it, or the request fails.

Change: Reply holds a reply back until the sample in flight is answered, or else one that it sends; the replies held are sent together, with a sample behind them, which acknowledges them and lets the next ones go. A reply not sent yet is sent on the next link. So only a reply in its one round trip can be unacknowledged. Commands are numbered when they are sent, and anew when they are sent again: until now a sample answered twice could acknowledge commands that were sent again after it.

Tests: TestReplyWaitsUntilAgentReads; before the change the replies came at once. Where tests had numbers of samples written out, these changed with the numbering: they now take the number from the sample. The golden commands have the sample before a delivery, and the launches after it, so that they are still sent again.

--- a/internal/agent/command_log.go
+++ b/internal/agent/command_log.go
@@ -5,18 +5,20 @@
 // command is a command that the agent is not known to have read. After a disconnection it is sent again, unless it is not
 // idempotent and the agent may have read it.
 type command struct {
-	sequence      int64  // in the order of sending; samples are numbered in the same sequence
+	sequence      int64  // of its last sending; samples are numbered in the same sequence; 0: not sent yet
 	requestID     string // a notification about this request proves that the command was read
 	line          []byte // encoded command
 	nonIdempotent bool   // causes harm if the agent reads it twice
-	sent          bool   // on some connection; the agent may have read it
 }
 
-// commandLog numbers commands and samples, and keeps the commands that the agent is not known to have read. It belongs to
-// the loop.
+// mayHaveBeenRead reports whether the command was sent on some connection.
+func (c *command) mayHaveBeenRead() bool { return c.sequence > 0 }
+
+// commandLog numbers commands and samples in the order of sending, and keeps the commands that the agent is not known to have
+// read. It belongs to the loop.
 type commandLog struct {
 	lastSequence   int64
-	unacknowledged []command // in the order of sending
+	unacknowledged []command // in the order of the calls of add
 }
 
 // nextSequence returns the number of the next command or sample. The first is 1.
@@ -25,31 +27,27 @@
 	return c.lastSequence
 }
 
-// add numbers a command and keeps it until it is acknowledged or removed.
-func (c *commandLog) add(added command) {
-	added.sequence = c.nextSequence()
-	c.unacknowledged = append(c.unacknowledged, added)
-}
+// add keeps a command until it is acknowledged or removed.
+func (c *commandLog) add(added command) { c.unacknowledged = append(c.unacknowledged, added) }
 
 // acknowledge removes the commands sent before the sample with this number. The agent reads commands in order.
 func (c *commandLog) acknowledge(sequence int64) {
-	c.unacknowledged = slices.DeleteFunc(c.unacknowledged, func(sent command) bool { return sent.sequence < sequence })
+	c.unacknowledged = slices.DeleteFunc(c.unacknowledged, func(unacknowledged command) bool {
+		return unacknowledged.mayHaveBeenRead() && unacknowledged.sequence < sequence
+	})
 }
 
 func (c *commandLog) removeRequest(requestID string) {
-	c.unacknowledged = slices.DeleteFunc(c.unacknowledged, func(sent command) bool { return sent.requestID == requestID })
-}
-
-// hasNonIdempotent reports whether a command that is not idempotent is unacknowledged.
-func (c *commandLog) hasNonIdempotent() bool {
-	return slices.ContainsFunc(c.unacknowledged, func(sent command) bool { return sent.nonIdempotent })
+	c.unacknowledged = slices.DeleteFunc(c.unacknowledged, func(unacknowledged command) bool {
+		return unacknowledged.requestID == requestID
+	})
 }
 
 // countSent returns the number of unacknowledged commands that the agent may have read.
 func (c *commandLog) countSent() int {
 	count := 0
-	for _, unacknowledged := range c.unacknowledged {
-		if unacknowledged.sent {
+	for i := range c.unacknowledged {
+		if c.unacknowledged[i].mayHaveBeenRead() {
 			count++
 		}
 	}
@@ -60,7 +58,7 @@
 // not idempotent. It returns the IDs of their requests.
 func (c *commandLog) removeSentNonIdempotent() (requestIDs []string) {
 	c.unacknowledged = slices.DeleteFunc(c.unacknowledged, func(unacknowledged command) bool {
-		if !unacknowledged.sent || !unacknowledged.nonIdempotent {
+		if !unacknowledged.mayHaveBeenRead() || !unacknowledged.nonIdempotent {
 			return false
 		}
 		requestIDs = append(requestIDs, unacknowledged.requestID)
@@ -69,13 +67,24 @@
 	return requestIDs
 }
 
-// takeLines returns the encoded unacknowledged commands in the order of sending, or nil if there are none, and marks them
-// as sent.
-func (c *commandLog) takeLines() []byte {
-	var lines []byte
+// takeUnsent numbers the commands that were not sent yet and returns them encoded, or nil if there are none.
+func (c *commandLog) takeUnsent() (lines []byte) {
+	return c.take(func(unacknowledged *command) bool { return !unacknowledged.mayHaveBeenRead() })
+}
+
+// takeAll numbers all unacknowledged commands anew and returns them encoded, or nil if there are none.
+func (c *commandLog) takeAll() (lines []byte) {
+	return c.take(func(*command) bool { return true })
+}
+
+// take numbers the commands that match and returns them encoded, in the order of their numbers.
+func (c *commandLog) take(matches func(*command) bool) (lines []byte) {
 	for i := range c.unacknowledged {
-		c.unacknowledged[i].sent = true
-		lines = append(lines, c.unacknowledged[i].line...)
+		taken := &c.unacknowledged[i]
+		if matches(taken) {
+			taken.sequence = c.nextSequence()
+			lines = append(lines, taken.line...)
+		}
 	}
 	return lines
 }
--- a/internal/agent/command_test.go
+++ b/internal/agent/command_test.go
@@ -22,33 +22,41 @@
 // that was never sent must stay.
 func TestCommandLogRemovesNonIdempotentCommands(t *testing.T) {
 	var log commandLog
-	log.add(command{requestID: "a", line: []byte("1\n"), nonIdempotent: true, sent: true})
-	log.add(command{requestID: "b", line: []byte("2\n"), sent: true})
+	log.add(command{requestID: "a", line: []byte("1\n"), nonIdempotent: true})
+	log.add(command{requestID: "b", line: []byte("2\n")})
+	require.Equal(t, "1\n2\n", string(log.takeUnsent()))
 	log.add(command{requestID: "c", line: []byte("3\n"), nonIdempotent: true})
 	require.Equal(t, 2, log.countSent())
 	require.Equal(t, []string{"a"}, log.removeSentNonIdempotent())
-	require.Equal(t, "2\n3\n", string(log.takeLines()))
+	require.Equal(t, 1, log.countSent())
+	require.Equal(t, "2\n3\n", string(log.takeAll()))
 	require.Equal(t, 2, log.countSent())
+	require.Nil(t, log.takeUnsent())
 }
 
 // Commands that an answered sample acknowledges, and commands about a request for which a notification has arrived, must not
-// be sent again. The others must be sent again in order.
+// be sent again. The others must be sent again in order, and a sample that was sent before that must not acknowledge them.
 func TestCommandLogKeepsUnacknowledgedCommands(t *testing.T) {
 	var log commandLog
-	require.Nil(t, log.takeLines())
+	require.Nil(t, log.takeAll())
 	log.add(command{requestID: "a", line: []byte("1\n")})
-	require.EqualValues(t, 2, log.nextSequence())
-	log.add(command{requestID: "b", line: []byte("3\n"), nonIdempotent: true})
+	log.add(command{requestID: "b", line: []byte("2\n"), nonIdempotent: true})
+	require.Equal(t, "1\n2\n", string(log.takeUnsent()))
+	require.EqualValues(t, 3, log.nextSequence())
 	log.add(command{requestID: "a", line: []byte("4\n")})
-	require.EqualValues(t, 5, log.nextSequence())
-	log.add(command{requestID: "c", line: []byte("6\n")})
-	require.Equal(t, "1\n3\n4\n6\n", string(log.takeLines()))
-	log.acknowledge(3)
-	require.Equal(t, "3\n4\n6\n", string(log.takeLines()))
-	require.True(t, log.hasNonIdempotent())
-	log.removeRequest("a")
-	require.Equal(t, "3\n6\n", string(log.takeLines()))
-	log.acknowledge(4)
-	require.Equal(t, "6\n", string(log.takeLines()))
-	require.False(t, log.hasNonIdempotent())
+	log.add(command{requestID: "c", line: []byte("5\n")})
+	require.Equal(t, "4\n5\n", string(log.takeUnsent()))
+	log.add(command{requestID: "d", line: []byte("not sent yet\n")})
+	log.acknowledge(2)
+	require.Equal(t, 3, log.countSent())
+	log.acknowledge(5)
+	require.Equal(t, 1, log.countSent())
+	require.EqualValues(t, 6, log.nextSequence())
+	require.Equal(t, "5\nnot sent yet\n", string(log.takeAll()))
+	log.acknowledge(6)
+	require.Equal(t, 2, log.countSent())
+	log.removeRequest("c")
+	require.Equal(t, "not sent yet\n", string(log.takeAll()))
+	log.acknowledge(log.nextSequence())
+	require.Nil(t, log.takeAll())
 }
--- a/internal/agent/connection.go
+++ b/internal/agent/connection.go
@@ -77,8 +77,19 @@
 	replay            replayState
 	lastReceived      time.Duration // time of the last input, or of the opening
 	unansweredSamples int           // samples sent since lastReceived; reset by any input, not only by an answer
+	lastSample        int64         // sequence number of the sample sent last; 0: none
+	lastAnswered      int64         // sequence number of the sample answered last; 0: none
 }
 
+// recordSample records that a sample was sent.
+func (c *connection) recordSample(sequence int64) {
+	c.unansweredSamples++
+	c.lastSample = sequence
+}
+
+// sampleInFlight reports whether the sample sent last is not answered yet. The agent answers samples in order.
+func (c *connection) sampleInFlight() bool { return c.lastAnswered < c.lastSample }
+
 // recordReceived records that input arrived at now.
 func (c *connection) recordReceived(now time.Duration) {
 	c.unansweredSamples = 0
--- a/internal/agent/golden_test.go
+++ b/internal/agent/golden_test.go
@@ -66,20 +66,21 @@
 	first := linesWritten(t, link, func(queue *writequeue.Queue) {
 		link.handleNotification(queue, Handshake{State: Steady, Age: time.Hour})
 		link.handleNotification(queue, rawSample{sequence: 1})
+		link.Reply(goldenRequest, []byte("reply\r\n"))
+		link.handleNotification(queue, rawSample{sequence: 2})
 		link.Launch(goldenRequest, "preview", []byte{0, 0xff, '\n', '"'})
 		link.Launch("00000000000000aa", "né\"<\\>\n", nil)
-		link.Reply(goldenRequest, []byte("reply\r\n"))
 		link.handleNotification(queue, Remark{Offset: 7})
 		link.SkipCall("00000000000000aa", 7)
 		link.SampleGauges()
 		require.NoError(t, link.DeepCheck("x1"))
 	})
-	cases := nameLines(t, []string{"subscribe from the first", "sample after the greeting", "launch",
-		"launch of an odd class without a payload", "deliver", "sample after a delivery", "forgo", "sample", "exercise"}, first)
+	cases := nameLines(t, []string{"subscribe from the first", "sample after the greeting", "sample before a delivery", "deliver",
+		"sample after a delivery", "launch", "launch of an odd class without a payload", "forgo", "sample", "exercise"}, first)
 	second := linesWritten(t, link, func(queue *writequeue.Queue) {
 		link.handleNotification(queue, Handshake{State: Steady, Age: time.Hour})
 		link.Reply("00000000000000bb", []byte("reply\r\n")) // the connection is not ready yet
-		link.handleNotification(queue, rawSample{sequence: 8})
+		link.handleNotification(queue, rawSample{sequence: 9})
 	})
 	cases = append(cases, nameLines(t, []string{"subscribe after a break", "sample after a break", "launch sent again",
 		"second launch sent again", "forgo sent again", "deliver not sent before", "sample after that delivery"}, second)...)
@@ -160,12 +161,13 @@
 	linesWritten(t, link, func(queue *writequeue.Queue) {
 		link.handleNotification(queue, steady)
 		link.handleNotification(queue, rawSample{sequence: 3})
-		link.Launch("00000000000000aa", "preview", nil)
 		link.Reply(goldenRequest, nil)
+		link.handleNotification(queue, rawSample{sequence: 4})
+		link.Launch("00000000000000aa", "preview", nil)
 	})
 	linesWritten(t, link, func(queue *writequeue.Queue) {
 		link.handleNotification(queue, steady)
-		link.handleNotification(queue, rawSample{sequence: 7})
+		link.handleNotification(queue, rawSample{sequence: 8})
 	})
 	local, _ := net.Pipe()
 	link.handleOpened(goldenAddr, writequeue.New(local, writeQueueSize))
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -13,7 +13,9 @@
 // to the call that the run waits for when it reads the reply. A reply that was read before the disconnection, and is read
 // again after the run has come to its next call, would answer that call. The run may come to it at any time, so no
 // notification read so far excludes it. A reply that may have been read is therefore not sent again but reported to the
-// Handler, which decides what becomes of the run.
+// Handler, which decides what becomes of the run. So that this is rare, a reply is held back until a sample is answered, which
+// shows that the agent still reads commands, and another sample follows it at once. A reply is then unacknowledged only if the
+// agent stops reading, or the connection breaks, within about a round trip after it was sent.
 package agent
 
 import (
@@ -119,11 +121,11 @@
 }
 
 // Reply passes a run the reply to the store call that it waits for. The reply is sent once: if the agent is not known to have
-// read it before a disconnection, the Handler's OnReplyUnacknowledged is called. So that this is rare, Reply sends a sample at
-// once if none was sent since the last input, instead of waiting for SampleGauges.
+// read it before a disconnection, the Handler's OnReplyUnacknowledged is called. The reply waits for the answer to the sample
+// that is in flight, or else to one that Reply sends.
 func (l *Link) Reply(requestID string, payload []byte) {
-	l.sendCommand(command{requestID: requestID, line: encodeReply(requestID, payload), nonIdempotent: true})
-	if l.state() == ready && l.current.unansweredSamples == 0 {
+	l.commands.add(command{requestID: requestID, line: encodeReply(requestID, payload), nonIdempotent: true})
+	if l.state() == ready && !l.current.sampleInFlight() {
 		l.sendSample()
 	}
 }
@@ -169,18 +171,28 @@
 	l.abortConnection()
 }
 
-// sendCommand numbers a command and sends it, at once or when a connection accepts commands.
+// sendCommand sends an idempotent command, at once or when a connection accepts commands.
 func (l *Link) sendCommand(added command) {
-	added.sent = l.state() == ready
-	l.commands.add(added)
-	if added.sent {
+	if l.state() == ready {
+		added.sequence = l.commands.nextSequence()
 		l.current.queue.Send(added.line)
 	}
+	l.commands.add(added)
+}
+
+// sendReplies sends the replies that were held back. It is called when the answer to a sample has shown that the agent reads
+// commands, and sends another sample, whose answer acknowledges them and lets the next ones be sent.
+func (l *Link) sendReplies() {
+	if lines := l.commands.takeUnsent(); len(lines) > 0 {
+		l.current.queue.Send(lines)
+		l.sendSample()
+	}
 }
 
 // sendSample requests the gauges. The answer also acknowledges the commands sent before. The token is the sequence number
 // of the sample.
 func (l *Link) sendSample() {
-	l.current.unansweredSamples++
-	l.current.queue.Send(encodeSample(l.commands.nextSequence()))
+	sequence := l.commands.nextSequence()
+	l.current.recordSample(sequence)
+	l.current.queue.Send(encodeSample(sequence))
 }
--- a/internal/agent/link_test.go
+++ b/internal/agent/link_test.go
@@ -43,12 +43,9 @@
 	remote.accept(0)
 	require.ErrorIs(t, remote.DeepCheck("x"), ErrNotConnected)
 	remote.send(`{"cmd":"greeting","result":"booting","elapsed_ms":1}`)
-	remote.expect(`{"cmd":"sample","token":"2"}`)
-	remote.sendSampled("2")
+	remote.sendSampled(remote.expectSample())
 	remote.expect(`{"cmd":"launch","req":"a","method":"preview","payload":""}`)
-	remote.SampleGauges()
-	remote.expect(`{"cmd":"sample","token":"3"}`)
-	remote.sendSampled("3") // proves that the launch was read
+	remote.sendSampled(remote.expectSample()) // proves that the launch was read
 	require.Empty(t, remote.commands.unacknowledged)
 	remote.Launch("b", "preview", nil)
 	remote.Launch("c", "preview", nil)
@@ -60,8 +57,7 @@
 	remote.sendHandshake(9)
 	remote.send(`{"cmd":"request","offset":1,"req":"b"}`)
 	remote.send(`{"cmd":"outcome","offset":2,"req":"a","result":"success"}`)
-	remote.expect(`{"cmd":"sample","token":"7"}`)
-	remote.sendSampled("7")
+	remote.sendSampled(remote.expectSample())
 	remote.expect(`{"cmd":"launch","req":"c","method":"preview","payload":""}`)
 	remote.expect(`{"cmd":"deliver","req":"b","payload":""}`)
 	require.Equal(t, []string{"greeting", "sampled", "sampled", "requestb", "greeting", "outcomea", "sampled"},
--- a/internal/agent/partition_test.go
+++ b/internal/agent/partition_test.go
@@ -23,8 +23,7 @@
 	remote.SetAddress(remote.listener.Addr().String())
 	remote.accept(0)
 	remote.sendHandshake(1)
-	remote.expect(`{"cmd":"sample","token":"3"}`)
-	remote.sendSampled("3")
+	remote.sendSampled(remote.expectSample())
 	remote.expect(`{"cmd":"launch","req":"a","method":"preview","payload":""}`)
 	remote.expect(`{"cmd":"launch","req":"b","method":"preview","payload":""}`)
 	// All in one write, and one of them twice.
--- a/internal/agent/races_test.go
+++ b/internal/agent/races_test.go
@@ -77,11 +77,10 @@
 		t.Run("known: "+known, func(t *testing.T) {
 			remote := newRemoteAgent(t)
 			remote.becomeReady()
-			remote.SampleGauges()
-			earlier := remote.expectSample() // sent before the reply, so its answer does not acknowledge the reply
 			remote.Reply("a", []byte("x"))
-			remote.expect(`{"cmd":"deliver","req":"a","payload":"eA=="}`)
+			earlier := remote.expectSample() // sent before the reply, so its answer does not acknowledge the reply
 			remote.sendSampled(earlier)
+			remote.expect(`{"cmd":"deliver","req":"a","payload":"eA=="}`)
 			token := remote.expectSample()
 			if known == "by a sample" {
 				remote.sendSampled(token)
@@ -104,12 +103,38 @@
 			require.EqualValues(t, len(remote.unacknowledged), remote.RepliesUnacknowledged())
 		})
 	}
-	remote := newRemoteAgent(t) // no sample is unanswered, so one is sent at once
+}
+
+// Guards against replies that are lost unread with the commands before a break: no reply may be sent while the agent has not
+// shown, by the answer to a sample, that it reads commands. Replies that wait for one answer are sent together, and the sample
+// behind them lets the next ones be sent.
+func TestReplyWaitsUntilAgentReads(t *testing.T) {
+	remote := newRemoteAgent(t)
 	remote.becomeReady()
-	remote.Reply("a", []byte("x"))
-	remote.expect(`{"cmd":"deliver","req":"a","payload":"eA=="}`)
+	remote.SampleGauges() // is in flight when the replies arrive, so no further sample is needed
+	inFlight := remote.expectSample()
+	remote.Reply("a", nil)
+	remote.Reply("b", nil)
+	remote.Launch("c", "preview", nil) // other commands do not wait
+	remote.expect(`{"cmd":"launch","req":"c","method":"preview","payload":""}`)
+	remote.sendSampled(inFlight)
+	remote.expect(`{"cmd":"deliver","req":"a","payload":""}`)
+	remote.expect(`{"cmd":"deliver","req":"b","payload":""}`)
+	following := remote.expectSample()
+	remote.Reply("d", nil)
+	remote.sendSampled(following)
+	remote.expect(`{"cmd":"deliver","req":"d","payload":""}`)
 	remote.sendSampled(remote.expectSample())
 	require.Empty(t, remote.commands.unacknowledged)
+
+	remote.Reply("e", nil)
+	remote.expectSample() // the agent does not read it before the break
+	remote.conn.Close()
+	remote.accept(0)
+	remote.sendHandshake(1)
+	remote.sendSampled(remote.expectSample())
+	remote.expect(`{"cmd":"deliver","req":"e","payload":""}`)
+	require.Empty(t, remote.unacknowledged)
 }
 
 // A reply that was not sent yet when the connection broke was not read, so it must be sent on the next one, once, with a sample
--- a/internal/agent/receive.go
+++ b/internal/agent/receive.go
@@ -127,22 +127,16 @@
 
 // handleSample processes the answer to a sample.
 func (l *Link) handleSample(sequence int64) {
-	switch {
-	case sequence == unknownSample: // answers no sample of this Link
-	case l.current.state == ready:
-		l.acknowledge(sequence)
-	default:
+	if sequence == unknownSample {
+		return // answers no sample of this Link
+	}
+	l.current.lastAnswered = max(l.current.lastAnswered, sequence)
+	if l.current.state != ready {
 		l.becomeReady()
+		return
 	}
-}
-
-// acknowledge drops the commands sent before a sample that was answered. It sends another sample if non-idempotent commands
-// remain, as these were sent after the answered one.
-func (l *Link) acknowledge(sequence int64) {
 	l.commands.acknowledge(sequence)
-	if l.commands.hasNonIdempotent() {
-		l.sendSample()
-	}
+	l.sendReplies()
 }
 
 // becomeReady lets the current connection accept commands. It sends the unacknowledged commands, except for the replies that
@@ -157,10 +151,8 @@
 	commands := l.commands.countSent()
 	replies := l.commands.removeSentNonIdempotent()
 	l.reportUnacknowledged(commands, len(replies))
-	if lines := l.commands.takeLines(); len(lines) > 0 {
+	if lines := l.commands.takeAll(); len(lines) > 0 {
 		l.current.queue.Send(lines) // as one message: the write queue may not have room for all of them
-	}
-	if l.commands.hasNonIdempotent() {
 		l.sendSample()
 	}
 	for _, requestID := range replies {
