Agent link: a new address takes over once the replies sent are acknowledged

SIGHUP moves the agent, the new link subscribes as soon as it is open, and the agent ends the old one with that. A reply on its way there is unacknowledged from then on, and its run skips the call or is awaited, though nothing was broken.

Change: the new connection waits until the agent is known to have read the replies sent on the old one, one round trip, and subscribes then; replies that come meanwhile wait for the new connection. If the old connection ends or falls silent, the new one subscribes at once.

Tests: TestAddressChangeWaitsForAcknowledgement failed before ("should be empty, but was [a]", and no subscription after silence). linesWritten of the golden tests now tells the Link that its connection has ended, as a real one does.

--- a/internal/agent/command_log.go
+++ b/internal/agent/command_log.go
@@ -54,6 +54,13 @@
 	return count
 }
 
+// hasSentNonIdempotent reports whether the agent may have read an unacknowledged command that is not idempotent.
+func (c *commandLog) hasSentNonIdempotent() bool {
+	return slices.ContainsFunc(c.unacknowledged, func(unacknowledged command) bool {
+		return unacknowledged.mayHaveBeenRead() && unacknowledged.nonIdempotent
+	})
+}
+
 // removeSentNonIdempotent removes the commands that must not be sent again: those that the agent may have read and that are
 // not idempotent. It returns the IDs of their requests.
 func (c *commandLog) removeSentNonIdempotent() (requestIDs []string) {
--- a/internal/agent/connection.go
+++ b/internal/agent/connection.go
@@ -130,8 +130,9 @@
 }
 
 // abortConnection closes the current connection at once and drops unwritten messages. The reconnect.Link then opens
-// another one.
+// another one, unless the next one is open already.
 func (l *Link) abortConnection() {
 	l.current.queue.Abort()
 	l.current = nil
+	l.switchToNext()
 }
--- a/internal/agent/golden_test.go
+++ b/internal/agent/golden_test.go
@@ -33,7 +33,7 @@
 	return New(Config{Address: goldenAddr, Seed: 1}, loop, handler, logging.NewLimiter(log))
 }
 
-// linesWritten returns the lines that link writes to a new connection during scenario.
+// linesWritten returns the lines that link writes to a new connection during scenario, after which the connection ends.
 func linesWritten(t *testing.T, link *Link, scenario func(queue *writequeue.Queue)) []string {
 	t.Helper()
 	local, remote := net.Pipe()
@@ -47,6 +47,7 @@
 	require.NoError(t, err)
 	require.NoError(t, <-writerDone)
 	require.True(t, strings.HasSuffix(string(text), "\n"))
+	link.handleClosed(queue)
 	return strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
 }
 
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -76,6 +76,7 @@
 	log         *logging.Limiter
 
 	current               *connection // nil: disconnected
+	next                  *connection // to a new address; replaces current once no reply is unacknowledged; nil: none
 	connectionsOpened     uint64
 	repliesUnacknowledged uint64 // sent before a disconnection; the agent is not known to have read them
 
@@ -101,7 +102,8 @@
 // Run keeps a connection to the current address open until ctx ends. It needs its own goroutine.
 func (l *Link) Run(ctx context.Context) { l.connections.Run(ctx, connectionHandler{l}) }
 
-// SetAddress connects to another address. The current connection stays in use until the new one is open.
+// SetAddress connects to another address. The current connection stays in use until the new one is open and the agent is known
+// to have read all replies sent on the current one, or that ends.
 func (l *Link) SetAddress(address string) { l.connections.SetAddress(address) }
 
 // SetGauges sets the names of the gauges, in the order in which the agent reports them.
@@ -183,6 +185,9 @@
 // sendReplies sends the replies that were held back. It is called when the answer to a sample has shown that the agent reads
 // commands, and sends another sample, whose answer acknowledges them and lets the next ones be sent.
 func (l *Link) sendReplies() {
+	if l.next != nil {
+		return // they are sent on the next connection
+	}
 	if lines := l.commands.takeUnsent(); len(lines) > 0 {
 		l.current.queue.Send(lines)
 		l.sendSample()
--- a/internal/agent/races_test.go
+++ b/internal/agent/races_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"falldeal/lab/loopback"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -159,6 +161,48 @@
 	require.Empty(t, remote.commands.unacknowledged)
 }
 
+// Guards against requests that fail, or skip a call, only because SIGHUP has moved the agent: while a reply on the old
+// connection may be acknowledged, the new one must not subscribe, since the agent then ends the old one. Later replies must wait
+// for the new connection. If the old connection ends or falls silent, the new one must subscribe at once.
+func TestAddressChangeWaitsForAcknowledgement(t *testing.T) {
+	for _, end := range []string{"acknowledged", "closed", "silent"} {
+		t.Run(end, func(t *testing.T) {
+			remote := newRemoteAgent(t)
+			remote.becomeReady()
+			remote.Reply("a", nil)
+			remote.sendSampled(remote.expectSample())
+			remote.expect(`{"cmd":"deliver","req":"a","payload":""}`)
+			token := remote.expectSample()
+			remote.listener = loopback.Listen(t)
+			remote.SetAddress(remote.listener.Addr().String())
+			next := remote.acceptUnsubscribed()
+			remote.Reply("b", nil)
+			switch end {
+			case "acknowledged":
+				remote.sendSampled(token)
+			case "closed":
+				remote.conn.Close()
+			case "silent":
+				for range minUnansweredSamples {
+					remote.now += maxSilence
+					remote.SampleGauges()
+				}
+			}
+			remote.runPosted() // the end of the old connection
+			remote.use(next)
+			remote.expect(`{"cmd":"subscribe","offset":0}`)
+			remote.sendHandshake(1)
+			remote.sendSampled(remote.expectSample())
+			remote.expect(`{"cmd":"deliver","req":"b","payload":""}`)
+			if end == "acknowledged" {
+				require.Empty(t, remote.unacknowledged)
+			} else {
+				require.Equal(t, []string{"a"}, remote.unacknowledged)
+			}
+		})
+	}
+}
+
 // After a disconnection, notifications may be missing because the agent keeps only the last 4,000. Then the outcomes of runs
 // in flight are lost, which must be reported once. If all notifications arrive, or some arrive twice, nothing is lost.
 func TestDisconnectRacesNotifications(t *testing.T) {
--- a/internal/agent/receive.go
+++ b/internal/agent/receive.go
@@ -38,25 +38,47 @@
 
 // The methods below run on the loop.
 
-// handleOpened makes a new connection the current one and subscribes to the missed notifications. If the address has been
-// replaced since the dial started, it closes the connection.
+// handleOpened prepares a new connection to become the current one. If the address has been replaced since the dial started,
+// it closes the connection.
 func (l *Link) handleOpened(address string, queue *writequeue.Queue) {
 	if address != l.connections.Address() {
 		queue.Close()
 		return
 	}
+	if l.next != nil {
+		l.next.queue.Close()
+	}
+	l.connectionsOpened++
+	l.next = &connection{queue: queue, state: synchronizing}
+	l.switchToNext()
+}
+
+// switchToNext makes the next connection, if there is one, the current one and subscribes to the missed notifications. The agent
+// ends the connection before it at that. So while a reply on that one may still be acknowledged, switchToNext does nothing.
+func (l *Link) switchToNext() {
+	if l.next == nil || l.awaitsReplyAcknowledgement() {
+		return
+	}
 	if l.current != nil {
 		l.current.queue.Close() // the queued commands are still written
 	}
-	l.connectionsOpened++
-	l.current = &connection{queue: queue, state: synchronizing}
+	l.current, l.next = l.next, nil
 	l.current.recordReceived(l.loop.Now())
-	queue.Send(encodeSubscribe(l.lastOffset))
+	l.current.queue.Send(encodeSubscribe(l.lastOffset))
+}
+
+// awaitsReplyAcknowledgement reports whether a sample in flight on the current connection may acknowledge a reply.
+func (l *Link) awaitsReplyAcknowledgement() bool {
+	return l.state() == ready && l.commands.hasSentNonIdempotent()
 }
 
 func (l *Link) handleClosed(queue *writequeue.Queue) {
+	if l.next != nil && l.next.queue == queue {
+		l.next = nil
+	}
 	if l.isCurrent(queue) {
 		l.current = nil
+		l.switchToNext()
 	}
 }
 
@@ -137,6 +159,7 @@
 	}
 	l.commands.acknowledge(sequence)
 	l.sendReplies()
+	l.switchToNext()
 }
 
 // becomeReady lets the current connection accept commands. It sends the unacknowledged commands, except for the replies that
--- a/internal/agent/remote_test.go
+++ b/internal/agent/remote_test.go
@@ -27,7 +27,7 @@
 	lossesReported int
 	unacknowledged []string // request IDs passed to OnReplyUnacknowledged
 	notifications  []string // wire name and request ID of each notification received by the Handler
-	conn           net.Conn // connection accepted last
+	conn           net.Conn // connection that the test uses
 	lines          *bufio.Scanner
 }
 
@@ -82,18 +82,27 @@
 
 // accept accepts the next connection, waits until the loop has taken it over, and expects its subscription after offset.
 func (r *remoteAgent) accept(offset int) {
+	r.Helper()
+	r.use(r.acceptUnsubscribed())
+	r.expect(fmt.Sprintf(`{"cmd":"subscribe","offset":%d}`, offset))
+}
+
+// acceptUnsubscribed accepts the next connection and waits until the loop knows it.
+func (r *remoteAgent) acceptUnsubscribed() net.Conn {
 	r.Helper()
 	conn, err := r.listener.Accept()
 	require.NoError(r, err)
 	r.Cleanup(func() { conn.Close() })
 	require.NoError(r, conn.SetDeadline(time.Now().Add(testTimeout)))
-	r.conn, r.lines = conn, bufio.NewScanner(conn)
 	for opened := r.ConnectionsOpened(); r.ConnectionsOpened() == opened; {
 		r.runPosted() // may also be the end of the previous connection
 	}
-	r.expect(fmt.Sprintf(`{"cmd":"subscribe","offset":%d}`, offset))
+	return conn
 }
 
+// use makes the test read from a connection and write to it from now on.
+func (r *remoteAgent) use(conn net.Conn) { r.conn, r.lines = conn, bufio.NewScanner(conn) }
+
 // becomeReady accepts the first connection and makes it ready.
 func (r *remoteAgent) becomeReady() {
 	r.Helper()
