Store link: no second call of a request on a connection that answered its first

Callers could see: a request answered 'served' whose run had got the reply to its first call for its second one. It takes a store that sends a second copy of a reply late.

A reply of the store names its request, not its call. A connection remembered only the request that it had answered last, so after another call in between a later call of the first request could go to it, and the copy was taken for its reply. A connection that became free was given to the waiting call without a look at all.

Why this works: a connection remembers each request that it has answered and carries no further call of it, whether it is idle or becomes free. It is closed after 64 calls, which bounds what it remembers. Where the limit on connections leaves such a call without a place, an idle connection that it may not use is closed for it.

--- a/internal/store/call.go
+++ b/internal/store/call.go
@@ -21,14 +21,26 @@
 
 func (q *callQueue) add(added *call) { *q = append(*q, added) }
 
-// take removes and returns the call that has waited longest, or returns nil if none waits.
-func (q *callQueue) take() *call {
-	if len(*q) == 0 {
+// takeFirst removes and returns the call that has waited longest, or returns nil if none waits.
+func (q *callQueue) takeFirst() *call {
+	return q.takeWhere(func(*call) bool { return true })
+}
+
+// takeFor removes and returns the call that has waited longest of those that a connection may carry, or returns nil if there
+// is none.
+func (q *callQueue) takeFor(conn *connection) *call {
+	return q.takeWhere(func(waiting *call) bool { return conn.mayCarryCallFor(waiting.requestID) })
+}
+
+// takeWhere removes and returns the first call that matches, or returns nil if there is none.
+func (q *callQueue) takeWhere(matches func(*call) bool) *call {
+	i := slices.IndexFunc(*q, matches)
+	if i < 0 {
 		return nil
 	}
-	longest := (*q)[0]
-	*q = slices.Delete(*q, 0, 1)
-	return longest
+	taken := (*q)[i]
+	*q = slices.Delete(*q, i, i+1)
+	return taken
 }
 
 // remove removes a call. It returns false if the call was not waiting.
--- a/internal/store/connection.go
+++ b/internal/store/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"falldeal/internal/deadline"
@@ -17,20 +18,31 @@
 	writeQueueSize = 8                     // messages waiting to be written on a connection
 	readBufferSize = 4 << 10               // bytes
 	idleTimeout    = 50 * time.Millisecond // the store may close a connection that is idle for longer
+
+	// maxCallsPerConnection bounds the requests that a connection remembers, and how often they are searched.
+	maxCallsPerConnection = 64
 )
 
 // connection is a connection to the store. It carries one call or is idle. It belongs to the loop.
 type connection struct {
-	queue         *writequeue.Queue
-	address       string
-	retired       bool            // no further call is sent on it
-	call          *call           // the call that it carries; nil: idle
-	lastRequestID string          // request of the last call that was answered on it
-	idleTimer     *deadline.Entry // closes the connection after idleTimeout
+	queue     *writequeue.Queue
+	address   string
+	retired   bool            // no further call is sent on it
+	call      *call           // the call that it carries; nil: idle
+	answered  []string        // request IDs of the calls that were answered on it
+	idleTimer *deadline.Entry // closes the connection after idleTimeout
 }
 
 // mayCarryCalls reports whether further calls may be sent on the connection, if calls currently go to address.
-func (c *connection) mayCarryCalls(address string) bool { return !c.retired && c.address == address }
+func (c *connection) mayCarryCalls(address string) bool {
+	return !c.retired && c.address == address && len(c.answered) < maxCallsPerConnection
+}
+
+// mayCarryCallFor reports whether a call for a request may be sent on the connection. A reply names its request and not its
+// call. If the connection has answered an earlier call for the request, a duplicate of that reply may still arrive on it.
+func (c *connection) mayCarryCallFor(requestID string) bool {
+	return !slices.Contains(c.answered, requestID)
+}
 
 // carriesCallFor reports whether the connection carries the call for a request.
 func (c *connection) carriesCallFor(requestID string) bool {
@@ -76,7 +88,7 @@
 			"address":        failed.address,
 			"retry_after_ms": l.dialer.delay.Milliseconds(),
 		})
-		if refused := l.waiting.take(); refused != nil {
+		if refused := l.waiting.takeFirst(); refused != nil {
 			l.endCall(refused, ConnectionRefused)
 		}
 	}
@@ -111,7 +123,7 @@
 		return
 	}
 	l.removeCall(conn.call)
-	conn.lastRequestID = frame.requestID
+	conn.answered = append(conn.answered, frame.requestID)
 	if conn.mayCarryCalls(l.address) {
 		l.assign(conn)
 	} else {
@@ -148,10 +160,10 @@
 	}
 }
 
-// assign gives a connection to the call that has waited longest. If no call waits, the connection becomes idle and is closed
-// after idleTimeout.
+// assign gives a connection to the call that has waited longest of those that it may carry. If there is none, the connection
+// becomes idle and is closed after idleTimeout.
 func (l *Link) assign(conn *connection) {
-	if waiting := l.waiting.take(); waiting != nil {
+	if waiting := l.waiting.takeFor(conn); waiting != nil {
 		l.startCall(waiting, conn)
 		return
 	}
@@ -160,6 +172,7 @@
 		l.removeIdle(conn)
 		l.closeConnection(conn)
 	})
+	l.adjustDials() // a call that the connection may not carry may need its place
 }
 
 // removeIdle removes a connection from the idle pool, if it is there, and stops its idle timer.
--- a/internal/store/idle.go
+++ b/internal/store/idle.go
@@ -8,11 +8,11 @@
 
 func (p *idlePool) add(conn *connection) { *p = append(*p, conn) }
 
-// longestIdle returns the connection that has been idle longest, or nil if there is none. It skips a connection whose last
-// call was for the same request: a duplicate of that reply would be mistaken for the reply to the next call.
+// longestIdle returns the connection that has been idle longest of those that may carry a call for a request, or nil if there
+// is none.
 func (p *idlePool) longestIdle(requestID string) *connection {
 	for _, conn := range *p {
-		if conn.lastRequestID != requestID {
+		if conn.mayCarryCallFor(requestID) {
 			return conn
 		}
 	}
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -171,13 +171,23 @@
 
 // adjustDials makes the number of wanted dials equal to the number of waiting calls, within the connection limit.
 // Surplus dials are cancelled, the oldest first: if the store does not respond, they would hang until reconnect.DialTimeout
-// and take the places of dials for later calls.
+// and take the places of dials for later calls. An idle connection, which no waiting call may use, is closed where the limit
+// would prevent a dial.
 func (l *Link) adjustDials() {
 	for len(l.dialer.wanted) > len(l.waiting) {
 		l.dialer.cancelOldest()
 	}
-	for len(l.dialer.wanted) < len(l.waiting) && l.mayDial() {
-		l.dialer.start(l.address)
+	for len(l.dialer.wanted) < len(l.waiting) {
+		switch {
+		case l.mayDial():
+			l.dialer.start(l.address)
+		case len(l.idle) > 0:
+			longestIdle := l.idle[0]
+			l.removeIdle(longestIdle)
+			l.closeConnection(longestIdle) // calls adjustDials, which starts the dial
+		default:
+			return
+		}
 	}
 }
 
--- a/internal/store/link_test.go
+++ b/internal/store/link_test.go
@@ -52,6 +52,13 @@
 // runPosted runs the next function that the Link posts to its loop.
 func (l *fakeLoop) runPosted() { (<-l.posted)() }
 
+// runUntilOutcomes runs functions that the Link posts until count calls have ended.
+func (l *fakeLoop) runUntilOutcomes(count int) {
+	for len(l.outcomes) < count {
+		l.runPosted()
+	}
+}
+
 // acceptCall accepts the connection opened for a call and reads the call from it.
 func (l *fakeLoop) acceptCall(listener net.Listener, call string, body string) (net.Conn, *bufio.Reader) {
 	l.Helper()
