--- a/internal/agent/command_log.go
+++ b/internal/agent/command_log.go
@@ -79,7 +79,7 @@
 	return c.take(func(unacknowledged *command) bool { return !unacknowledged.mayHaveBeenRead() })
 }
 
-// takeAll numbers all unacknowledged commands anew and returns them encoded, or nil if there are none.
+// takeAll gives all unacknowledged commands new numbers and returns them encoded, or nil if there are none.
 func (c *commandLog) takeAll() (lines []byte) {
 	return c.take(func(*command) bool { return true })
 }
--- a/internal/agent/random_orders_test.go
+++ b/internal/agent/random_orders_test.go
@@ -278,9 +278,9 @@
 	}
 }
 
-// Guards against a run that gets the reply to another call of its own, or none although it was not reported: any order of
-// commands, notifications, store replies, breaks of the connection that lose what was not read, and changes of the address must
-// leave each reply with its call.
+// Guards against a run that gets the reply to an earlier or later call, or none although that was not reported. Each reply must
+// reach its call in any order of commands, notifications, store replies, changes of the address, and breaks of the connection that
+// lose what was not read.
 func TestEachReplyReachesItsCallInRandomOrders(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -74,7 +74,7 @@
 
 // handleReplyUnacknowledged decides what becomes of a run whose last reply the agent may not have read before the link broke.
 // If the request may do without its call, the agent is told to skip it: the command names the call, and is rejected if the run
-// has gone on with the reply. Otherwise the run is awaited, since it may have gone on.
+// has continued with the reply. Otherwise the run is awaited, since it may have continued.
 func (s *Server) handleReplyUnacknowledged(id string) {
 	request := s.requests.byAttemptID[id]
 	if request == nil || !request.running() || request.answered {
@@ -87,8 +87,8 @@
 	s.awaitProgress(request)
 }
 
-// awaitProgress fails a request whose run has not gone on by the latency objective of the request: it then probably waits for
-// a reply that it will not get. The agent ends a run at a call once its request is answered.
+// awaitProgress fails a request whose run has not continued by the latency objective of the request: it then probably waits
+// for a reply that it will not get. The agent ends a run at a call once its request is answered.
 func (s *Server) awaitProgress(request *activeRequest) {
 	offset := request.callOffset
 	s.deadlines.Add(s.latencyObjective(request), func() {
--- a/internal/server/calls_test.go
+++ b/internal/server/calls_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against a run that waits for a lost reply until its deadline, and against a request that fails although its run has
-// gone on: an unacknowledged reply fails its request at the latency objective, unless the run has come to its next call or has
+// continued: an unacknowledged reply fails its request at the latency objective, unless the run has come to its next call or has
 // ended.
 func TestUnacknowledgedReplyFailsAtObjective(t *testing.T) {
 	for progress, want := range map[string][]any{"none": {Failed}, "next call": nil, "outcome": {Served}} {
@@ -34,7 +34,7 @@
 			server.clock.now = objective
 			server.deadlines.Sweep(server.clock.now)
 			require.Equal(t, want, conn.recorded)
-			if progress == "none" { // the run may still go on, and counts until it ends
+			if progress == "none" { // the run may still continue, and counts until it ends
 				require.True(t, server.requests.contains(request))
 				server.step()
 				server.handleAgentNotification(agent.RunOutcome{RequestID: "a", Offset: 8, Result: agent.RunInterrupted})
--- a/internal/server/trace.go
+++ b/internal/server/trace.go
@@ -42,7 +42,7 @@
 	// A request whose own run fails has no reason.
 	reasonAbandoned traceReason = "abandoned"
 	// reasonReplyUnacknowledged: failed because the link to the agent broke before the agent was known to have read the reply
-	// to the run's call, and the run has not gone on since.
+	// to the run's call, and the run has not continued since.
 	reasonReplyUnacknowledged traceReason = "reply_unacknowledged"
 	// reasonShutdown: rejected or failed because the loop ended before there was an answer.
 	reasonShutdown traceReason = "shutdown"
