--- a/review/peers/book.go
+++ b/review/peers/book.go
@@ -51,15 +51,12 @@
 	Windows map[string]time.Duration // by class, of keyed classes
 	OnOver  func(id string)
 
-	LostPerMille int // of the requests may lack an answer in time before the rule counts as broken
-
 	Life int // of the image server; a new one knows no keys. Changed only while no request is sent.
 
 	mu     sync.Mutex
 	tries  map[string]*Try
 	order  []*Try
 	broken []string
-	lost   []string // that count only beyond LostPerMille
 }
 
 // NewBook returns an empty book for classes.
@@ -119,12 +116,6 @@
 	b.Record.Add("BROKEN %s", line)
 }
 
-func (b *Book) noteLost(format string, args ...any) {
-	line := "lost: " + fmt.Sprintf(format, args...)
-	b.lost = append(b.lost, line)
-	b.Record.Add("%s", line)
-}
-
 // SetWindow sets the window of a keyed class, by which the rules are checked.
 func (b *Book) SetWindow(class string, window time.Duration) {
 	b.mu.Lock()
@@ -246,10 +237,6 @@
 	for _, tries := range keys {
 		b.checkKey(tries)
 	}
-	b.Record.Add("%d of %d requests had no answer in time", len(b.lost), len(b.order))
-	if len(b.lost)*1000 > b.LostPerMille*len(b.order) {
-		b.broken = append(b.broken, b.lost...)
-	}
 	return b.broken
 }
 
@@ -274,9 +261,9 @@
 	due := try.At.Add(try.Wait)
 	switch {
 	case try.answers == 0:
-		b.noteLost("%s (%s) got no answer, connection ended: %v", try.ID, try.Class, try.closed)
+		b.note("lost", "%s (%s) got no answer, connection ended: %v", try.ID, try.Class, try.closed)
 	case try.Answered.After(due.Add(slack)):
-		b.noteLost("%s (%s) was answered (%s) %d ms after its due time", try.ID, try.Class, try.Kind,
+		b.note("lost", "%s (%s) was answered (%s) %d ms after its due time", try.ID, try.Class, try.Kind,
 			try.Answered.Sub(due).Milliseconds())
 	}
 }
