--- a/review/6/main.go
+++ b/review/6/main.go
@@ -16,8 +16,8 @@
 	longRun    = 900 * time.Millisecond // of the others
 	tryWait    = 480 * time.Millisecond // the front end waits that long for a try
 	quiet      = time.Second            // before the bad clients
-	badClients = 20
-	badFor     = 2500 * time.Millisecond // from before the successor's start on
+	badClients = 40
+	badFor     = 3 * time.Second         // from before the successor's start on
 	readyFor   = 4 * time.Second         // from the successor's yes to SIGTERM
 	stopAfter  = 3700 * time.Millisecond // from SIGTERM to SIGKILL: 3 s and 0.7 s
 	lastTries  = 1500 * time.Millisecond
