Cases end their processes also when they are killed, and say when TMPDIR is too long

A case that is killed from outside left its image servers running; they now end with it, seen with a play that was ended after 3 s.

--- a/review/peers/platform.go
+++ b/review/peers/platform.go
@@ -71,6 +71,7 @@
 	}
 	server.process = exec.Command("/bin/sh", "-c", command) //nolint:gosec,noctx // the deploy file says what to run
 	server.process.Dir = root
+	server.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also where the case is killed
 	server.process.Stdout, server.process.Stderr = log, log
 	server.process.Env = append(os.Environ(), "GW_CONFIG="+server.Config, "GW_NAME="+at.Name, "GW_LISTEN="+at.Listen,
 		"TMPDIR="+folder)
--- a/review/peers/play.go
+++ b/review/peers/play.go
@@ -11,6 +11,7 @@
 const (
 	startLimit = 15 * time.Second  // for an image server to get ready
 	playLimit  = 110 * time.Second // for a whole play
+	maxFolder  = 80                // bytes of the path of TMPDIR
 )
 
 // How a play ends, for the script.
@@ -60,6 +61,10 @@
 		return exitFailed
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
+	if len(folder) > maxFolder {
+		fmt.Fprintln(os.Stderr, "the path of the temporary folder is too long for a Unix socket")
+		return exitFailed
+	}
 	stage := &Play{Trouble: os.Getenv("TROUBLE") != "0", Record: record, Settings: StandardSettings(), root: root,
 		folder: folder}
 	defer stage.end()
