Sizes of the tables that grow with what clients send, as metrics; a flood client of the lab

New gauges now_NAME and app.tables.NAME: completed_ids, deadlines, controller_deadlines, queue_entries, inbox, claims, peer_messages.

The lab gets clients at full speed (lab/clients Flood), and its agent can reject a launch, as real ones do for a request that they don't know.

--- a/internal/server/operate.go
+++ b/internal/server/operate.go
@@ -44,7 +44,7 @@
 // AppendMetrics appends the metrics to b.
 func (s *Server) AppendMetrics(ctx context.Context, b []byte) ([]byte, error) {
 	return query(ctx, s, func() []byte {
-		return stats.Metrics{Counters: &s.stats, InFlight: s.connections.openRequests}.Append(b)
+		return stats.Metrics{Counters: &s.stats, InFlight: s.connections.openRequests, Tables: s.tables()}.Append(b)
 	})
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -160,6 +160,7 @@
 		Processes:       s.processes.alive,
 		CallUnits:       s.callShare.usable,
 		RetainedKB:      s.idempotency.resultBytes >> 10,
+		Tables:          s.tables(),
 	})
 	s.logFleet()
 }
--- a/internal/stats/counters.go
+++ b/internal/stats/counters.go
@@ -104,6 +104,7 @@
 	Processes       int // processes of this image server, including this one; logged as now_processes
 	CallUnits       int // units of the call limit that this process may use; logged as now_call_units
 	RetainedKB      int // memory for results that may answer retries, in KB; logged as now_retained_kb
+	Tables
 }
 
 // Log logs all counters and the gauges in one line. Operators' tools read the names of its fields, which never change.
@@ -172,7 +173,7 @@
 
 // fields returns the gauges by the names under which they are logged.
 func (g Gauges) fields() logrus.Fields {
-	return logrus.Fields{
+	fields := logrus.Fields{
 		"now_open":        g.ActiveRequests,
 		"now_running":     g.RunningRequests,
 		"now_keys":        g.IdempotencyKeys,
@@ -181,4 +182,8 @@
 		"now_call_units":  g.CallUnits,
 		"now_retained_kb": g.RetainedKB,
 	}
+	for _, table := range g.Tables.sizes() {
+		fields["now_"+table.name] = table.size
+	}
+	return fields
 }
--- a/internal/stats/golden_test.go
+++ b/internal/stats/golden_test.go
@@ -30,7 +30,7 @@
 	log.SetOutput(&got)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, DisableTimestamp: true})
 	counters.Log(log, Gauges{ActiveRequests: 36, RunningRequests: 37, IdempotencyKeys: 38, Connections: 39,
-		Processes: 41, RetainedKB: 42, CallUnits: 43})
+		Processes: 41, RetainedKB: 42, CallUnits: 43, Tables: testTables})
 	new(Counters).Log(log, Gauges{})
 	golden.RequireText(t, "print", got.String())
 }
--- a/internal/stats/metrics.go
+++ b/internal/stats/metrics.go
@@ -15,10 +15,11 @@
 	gauge   metricKind = "g"
 )
 
-// Metrics are the counters and the gauge that operators monitor while a server runs.
+// Metrics are the counters and the gauges that operators monitor while a server runs.
 type Metrics struct {
 	*Counters
 	InFlight int // requests without a response
+	Tables   Tables
 }
 
 // The names of the metrics. Operators' tools read them.
@@ -31,6 +32,7 @@
 	metricReloads         = "reconfig_ok"     // counter: reloads of the configuration that were applied
 	metricReloadsFailed   = "reconfig_failed" // counter: reloads that failed; the configuration stayed as it was
 	metricClassNamePrefix = "calls."          // precedes the name of the class
+	metricTablePrefix     = "tables."         // precedes the name of a table; gauge: its entries
 )
 
 // Append appends the metrics as StatsD lines: NAME:VALUE|c for a counter, NAME:VALUE|g for a gauge.
@@ -44,6 +46,9 @@
 	}
 	b = appendLine(b, metricRuns, m.Runs, counter)
 	b = appendLine(b, metricInFlight, uint64(m.InFlight), gauge)
+	for _, table := range m.Tables.sizes() {
+		b = appendLine(b, metricTablePrefix+table.name, uint64(table.size), gauge)
+	}
 	b = appendLine(b, metricReloads, m.Reloads, counter)
 	return appendLine(b, metricReloadsFailed, m.ReloadsFailed, counter)
 }
--- a/internal/stats/metrics_test.go
+++ b/internal/stats/metrics_test.go
@@ -6,6 +6,10 @@
 	"github.com/stretchr/testify/require"
 )
 
+// testTables has a different size for each table.
+var testTables = Tables{CompletedIDs: 1, Deadlines: 2, ControllerDeadlines: 3, QueueEntries: 4, InboxEvents: 5, Claims: 6,
+	PeerMessages: 7}
+
 // The operators' collector looks for these names. The name of a class may contain separators, which must not split a metric
 // name or a line.
 func TestMetricNames(t *testing.T) {
@@ -23,7 +27,14 @@
 app.calls.licence-order.failure:0|c
 app.backend_calls:900|c
 app.inflight:14|g
+app.tables.completed_ids:1|g
+app.tables.deadlines:2|g
+app.tables.controller_deadlines:3|g
+app.tables.queue_entries:4|g
+app.tables.inbox:5|g
+app.tables.claims:6|g
+app.tables.peer_messages:7|g
 app.reconfig_ok:2|c
 app.reconfig_failed:1|c
-`, string(Metrics{Counters: &counters, InFlight: 14}.Append(nil)))
+`, string(Metrics{Counters: &counters, InFlight: 14, Tables: testTables}.Append(nil)))
 }
--- a/lab/fakes/agent_run.go
+++ b/lab/fakes/agent_run.go
@@ -18,6 +18,9 @@
 	Work   time.Duration // processor time, not counting the call; 0 = none
 	Call   []byte        // body of the call that the run makes first; nil = none
 	Result []byte        // nil = the body of the launch
+
+	// Rejected makes the agent reject the launch, as it does for a request that it does not know.
+	Rejected bool
 }
 
 // run is the state of one run. Agent.mu guards all fields.
@@ -28,15 +31,20 @@
 	completed    bool
 }
 
-// startRun starts a run: with its call if the plan has one, otherwise with its work.
+// startRun starts a run: with its call if the plan has one, otherwise with its work. It rejects the run instead if the plan
+// says so.
 func (a *Agent) startRun(started *run) {
+	if a.PlanRun != nil {
+		started.plan = a.PlanRun(started.launch)
+	}
+	if started.plan.Rejected {
+		a.send(notification{Name: notificationRejected, Result: string(commandLaunch), Req: started.launch.RequestID})
+		return
+	}
 	a.runs[started.launch.RequestID] = started
 	if a.OnRunStarted != nil {
 		a.OnRunStarted(started.launch)
 	}
-	if a.PlanRun != nil {
-		started.plan = a.PlanRun(started.launch)
-	}
 	if started.plan.Result != nil {
 		started.launch.Body = started.plan.Result
 	}
--- a/lab/fakes/protocol.go
+++ b/lab/fakes/protocol.go
@@ -31,6 +31,7 @@
 	notificationDeepChecked notificationName = "exercised"
 	notificationRequest     notificationName = "request"
 	notificationOutcome     notificationName = "outcome"
+	notificationRejected    notificationName = "refusal"
 )
 
 // notification is a message from the agent to an image server. Its name determines which fields are set.
--- a/lab/frontrpc/frontrpc.go
+++ b/lab/frontrpc/frontrpc.go
@@ -14,8 +14,9 @@
 // Types of messages and their numbers of elements.
 const (
 	// Types of messages.
-	RequestType  = 0
-	ResponseType = 1
+	RequestType      = 0
+	ResponseType     = 1
+	notificationType = 2
 
 	// Numbers of elements of messages.
 	NotificationParts = 3
@@ -62,6 +63,14 @@
 	return nil
 }
 
+// EncodeCancel writes the notification that the answer to the request with the given call number is no longer needed.
+func EncodeCancel(encoder *msgpack.Encoder, call uint32) error {
+	if err := encoder.Encode([]any{notificationType, "cancelRequest", []any{call}}); err != nil {
+		return fmt.Errorf("encode cancellation of call %d: %w", call, err)
+	}
+	return nil
+}
+
 func (r *Request) fields() map[string]string {
 	fields := map[string]string{
 		fieldID:       r.ID,
--- a/lab/replacement/harness_test.go
+++ b/lab/replacement/harness_test.go
@@ -164,8 +164,12 @@
 // result is the result of each run.
 var result = make([]byte, resultBytes)
 
-// planRun returns the plan of a run: licence orders and previews make a call, and each result has resultBytes.
+// planRun returns the plan of a run: licence orders and previews make a call, and each result has resultBytes. A request of a
+// flood is rejected, because the agent knows only those of front ends.
 func planRun(launch fakes.Launch) fakes.RunPlan {
+	if string(launch.Body) == clients.FloodBody {
+		return fakes.RunPlan{Rejected: true}
+	}
 	plan := fakes.RunPlan{Work: 4 * time.Millisecond, Result: result}
 	if launch.Class != "hires-crop" {
 		plan.Call = []byte("SELECT " + launch.RequestID)
