Deadlines of requests that have ended no longer grow with the rate of requests

Cause: the controller drops an obsolete deadline only at the front of its queue, so each request that was rejected at once, with all that is known of it, stayed until its answer deadline (5 s there), and that of a key until the end of its window. Evidence: app.tables.controller_deadlines, 569,935 after 8 s of a flood that is rejected as too late, 148,719 of one that is cancelled, with 5,199 IDs of answered attempts in the latter: this table alone took the process to 104.8 MB. Fix: the queue is purged once it has doubled since the last purge, from 1,024 entries on; it then holds at most twice what is in use, and a purge costs a constant time per entry. Test: TestDeadlinesOfEndedRequestsAreRemoved failed before in three of its four cases (102,399 and 204,798 entries, want 1,025). No decision changes: the recorded run now steps a second controller that purges with the same events, and requires the same actions but for wakes; its digest is unchanged, as the first one does not purge.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -80,6 +80,7 @@
 		c.handleEvent(&events[i])
 	}
 	c.expireDeadlines()
+	c.timers.purgeObsolete(c.keys.forgotten)
 	if c.timers.periodicDue(c.now) {
 		c.runPeriodic()
 	}
--- a/admission/key_table.go
+++ b/admission/key_table.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// forgotten reports whether there is no entry of a request.
+func (k *keyTable) forgotten(id RequestID) bool {
+	_, known := k.expiresAt[id]
+	return !known
+}
+
 // runEnded drops the entry of a read whose run ended without a result that could answer other attempts.
 func (k *keyTable) runEnded(now time.Duration, request *request, outcome Outcome) {
 	noResult := outcome == OutcomeCancelled || outcome == OutcomeFailed
--- a/admission/policy_test.go
+++ b/admission/policy_test.go
@@ -16,8 +16,8 @@
 // filesWithoutDecisions are the files with types that are exchanged with the owner, settings and helpers. All
 // other files decide.
 var filesWithoutDecisions = []string{
-	"action.go", "condition.go", "doc.go", "durations.go", "event.go", "action_buffer.go", "reconfigure.go", "settings.go",
-	"settings_check.go",
+	"action.go", "condition.go", "doc.go", "durations.go", "event.go", "action_buffer.go", "purge.go", "reconfigure.go",
+	"settings.go", "settings_check.go", "table_sizes.go",
 }
 
 // policyFiles returns the files that deploy/balancer.toml lists under policy.
--- a/admission/recorded_run_test.go
+++ b/admission/recorded_run_test.go
@@ -7,6 +7,7 @@
 	"hash"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -101,6 +102,18 @@
 	}
 }
 
+// requireSameDecisions checks that the purging controller takes the same actions, except for wakes: a deadline that was
+// purged causes none.
+func (s *recordedServer) requireSameDecisions(events []Event, actions []Action) {
+	s.t.Helper()
+	isWake := func(action Action) bool { return action.Kind == ActionWake }
+	want := slices.DeleteFunc(slices.Clone(actions), isWake)
+	got := slices.DeleteFunc(s.purging.Step(s.now, events, nil), isWake)
+	if !slices.Equal(want, got) {
+		require.Equal(s.t, want, got) // prints the difference
+	}
+}
+
 // Fails if a change that should not affect decisions, such as a refactoring, does affect one. The digest of
 // all actions must stay the same for random events of every kind, under random settings.
 func TestRecordedRun(t *testing.T) {
@@ -128,6 +141,7 @@
 		}
 		actions = server.controller.Step(server.now, events, actions[:0])
 		record(t, digest, server.now, actions)
+		server.requireSameDecisions(events, actions)
 		for i := range actions {
 			coverage.countAction(&actions[i])
 			server.carryOut(&actions[i])
--- a/admission/recorded_server_test.go
+++ b/admission/recorded_server_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -42,7 +43,8 @@
 	t          *testing.T
 	rng        *rand.Rand
 	settings   Settings
-	controller *Controller
+	controller *Controller // never purges obsolete deadlines, so that its wakes are those of the digest
+	purging    *Controller // gets the same events, and purges them
 	now        time.Duration
 	wakeAt     time.Duration
 	lastID     RequestID
@@ -58,7 +60,10 @@
 	startAt := time.Duration(rng.IntN(3)) * 7 * time.Second
 	controller, err := New(settings, seed, startAt)
 	require.NoError(t, err)
-	server := &recordedServer{t: t, rng: rng, settings: settings, controller: controller, now: startAt,
+	controller.timers.purge.purged(math.MaxInt / 2)
+	purging, err := New(settings, seed, startAt)
+	require.NoError(t, err)
+	server := &recordedServer{t: t, rng: rng, settings: settings, controller: controller, purging: purging, now: startAt,
 		drainStep: recordedStepsPerSeed + 1}
 	if seed%4 != 3 {
 		server.drainStep = recordedStepsPerSeed * 9 / 10
@@ -128,14 +133,19 @@
 	}
 	switch s.rng.IntN(250) {
 	case 0:
-		s.controller.SetProtectedCalls([]float64{-1, 0, 1, BreakerProtectedCalls}[s.rng.IntN(4)])
+		s.setProtectedCalls([]float64{-1, 0, 1, BreakerProtectedCalls}[s.rng.IntN(4)])
 	case 1, 2:
-		s.controller.SetProtectedCalls(BreakerProtectedCalls)
+		s.setProtectedCalls(BreakerProtectedCalls)
 	case 3:
 		s.reconfigure(coverage)
 	}
 }
 
+func (s *recordedServer) setProtectedCalls(calls float64) {
+	s.controller.SetProtectedCalls(calls)
+	s.purging.SetProtectedCalls(calls)
+}
+
 // reconfigure changes the settings while requests are in flight. On average one third of the changes are
 // invalid.
 func (s *recordedServer) reconfigure(coverage *recordedCoverage) {
@@ -161,7 +171,9 @@
 	case 1:
 		settings.Cores = 0
 	}
-	if s.controller.Reconfigure(settings) != nil {
+	err := s.controller.Reconfigure(settings)
+	require.Equal(s.t, err, s.purging.Reconfigure(settings))
+	if err != nil {
 		coverage.rejectedSettings++
 		return
 	}
--- a/admission/timers.go
+++ b/admission/timers.go
@@ -49,6 +49,7 @@
 // in the next step, which is taken at the next event and at the latest after maxSkippedIntervals.
 type timers struct {
 	deadlines      timedqueue.Queue[deadline]
+	purge          purgeThreshold // of deadlines
 	started        bool          // the first step was taken
 	wakeAt         time.Duration // At of the last ActionWake
 	nextPeriodicAt time.Duration // time of the next periodic decisions
@@ -84,6 +85,21 @@
 	}
 }
 
+// purgeObsolete removes obsolete deadlines if there may be many. forgotten reports whether a remembered
+// request was forgotten before its deadlineKey.
+func (t *timers) purgeObsolete(forgotten func(RequestID) bool) {
+	if !t.purge.reached(t.deadlines.Len()) {
+		return
+	}
+	t.deadlines.DeleteFunc(func(due deadline) bool {
+		if due.kind == deadlineKey {
+			return forgotten(due.id)
+		}
+		return due.obsolete()
+	})
+	t.purge.purged(t.deadlines.Len())
+}
+
 // catchUp makes the periodic decisions that were skipped. It runs before the events at now are handled, so
 // that the decisions are based on the state of the idle server.
 func (t *timers) catchUp(now time.Duration, runPeriodic func()) {
--- a/admission/timers_test.go
+++ b/admission/timers_test.go
@@ -178,3 +178,69 @@
 	require.False(t, ok)
 	require.Zero(t, timers.deadlines.Len())
 }
+
+// Clients that send the next request as soon as one is rejected or cancelled must not make the deadlines grow with their rate.
+// Deadlines of requests that had ended were kept until those times, and took the server over its memory.
+func TestDeadlinesOfEndedRequestsAreRemoved(t *testing.T) {
+	const keyed, unkeyed = 0, 1
+	ends := map[string]func(id RequestID) []Event{
+		"rejected, unkeyed":  func(id RequestID) []Event { return []Event{tooLateRequest(id, unkeyed)} },
+		"rejected, keyed":    func(id RequestID) []Event { return []Event{tooLateRequest(id, keyed)} },
+		"cancelled, unkeyed": func(id RequestID) []Event { return []Event{arrived(id, unkeyed), RequestCancelled(id)} },
+		"cancelled, keyed":   func(id RequestID) []Event { return []Event{arrived(id, keyed), RequestCancelled(id)} },
+	}
+	for name, events := range ends {
+		t.Run(name, func(t *testing.T) {
+			settings := testSettings()
+			settings.Classes = settings.Classes[:2]
+			settings.Classes[keyed].Idempotency = IdempotentByKey
+			settings.Classes[keyed].IdempotencyWindow = time.Minute
+			settings.Classes[unkeyed].Idempotency = Unsafe
+			controller := startController(t, settings)
+			largest, now := 0, time.Duration(1)
+			for id := RequestID(1); id < 100*minPurgeSize; id++ {
+				now += 10 * time.Microsecond
+				controller.Step(now, events(id), nil)
+				largest = max(largest, TableSizesOf(controller).Deadlines)
+			}
+			require.LessOrEqual(t, largest, minPurgeSize+1)
+			require.LessOrEqual(t, len(controller.requests), 1) // the first one is admitted as a trial
+		})
+	}
+}
+
+// tooLateRequest returns the arrival of a request that is rejected at once, because it can't be answered in time.
+func tooLateRequest(id RequestID, class int) Event {
+	return RequestArrived(id, Arrival{Class: class, MemoryKB: 1, CostHint: time.Hour})
+}
+
+// A purge must remove only deadlines that are obsolete: the others must pass at their times, in order.
+func TestPurgeKeepsDeadlinesInUse(t *testing.T) {
+	const inUse = 3 * minPurgeSize
+	var timers timers
+	for i := range 2 * inUse {
+		open := &request{id: RequestID(i), state: queued}
+		if i%2 == 1 {
+			open.state = released
+		}
+		timers.add(time.Duration((i*7919)%inUse), deadline{kind: deadlineAnswer, request: open})
+		timers.add(time.Duration((i*104729)%inUse), deadline{kind: deadlineKey, id: RequestID(i)})
+		timers.purgeObsolete(func(id RequestID) bool { return id%2 == 1 })
+	}
+	require.LessOrEqual(t, timers.deadlines.Len(), 2*2*inUse)
+	answers, keys, last := 0, 0, time.Duration(0)
+	for timers.deadlines.Len() > 0 {
+		due, at, _ := timers.deadlines.Peek()
+		timers.deadlines.Pop()
+		require.GreaterOrEqual(t, at, last)
+		last = at
+		switch {
+		case due.kind == deadlineAnswer && due.request.state == queued:
+			answers++
+		case due.kind == deadlineKey && due.id%2 == 0:
+			keys++
+		}
+	}
+	require.Equal(t, inUse, answers)
+	require.Equal(t, inUse, keys)
+}
--- a/internal/server/tables.go
+++ b/internal/server/tables.go
@@ -1,6 +1,9 @@
 package server
 
-import "falldeal/internal/stats"
+import (
+	"falldeal/admission"
+	"falldeal/internal/stats"
+)
 
 // tables returns the current sizes of the tables and queues that grow with what clients send.
 func (s *Server) tables() stats.Tables {
@@ -11,7 +14,7 @@
 		Claims:       len(s.handover.claims),
 	}
 	if s.admission.started() {
-		sizes := s.admission.controller.TableSizes()
+		sizes := admission.TableSizesOf(s.admission.controller)
 		tables.ControllerDeadlines = sizes.Deadlines
 		tables.QueueEntries = sizes.QueueEntries
 	}
