IDs of requests that were rejected no longer grow with the rate of requests

Cause: the ID of each request that was answered was kept for the longest deadline and 1 s, up to twice that, without a limit on their number, whether or not the request had run. Evidence: app.tables.completed_ids, 567,170 and 569,856 after 8 s of a flood of rejected requests (59.9 and 97.2 MB of 32). What a rule needs: no second run, so the IDs of those that ran stay as long as before; their number is bounded by 1/32 of the memory limit (32,768 at 32 MB), above which a request is rejected and not run. No second answer to a copy that crosses the first one: the latest 16,384 to 32,768 IDs that were answered without a run. A request that the agent rejects did not run, and moves to those. IDs are kept as hashes of 8 bytes.

--- a/admission/timers.go
+++ b/admission/timers.go
@@ -50,10 +50,10 @@
 type timers struct {
 	deadlines      timedqueue.Queue[deadline]
 	purge          purgeThreshold // of deadlines
-	started        bool          // the first step was taken
-	wakeAt         time.Duration // At of the last ActionWake
-	nextPeriodicAt time.Duration // time of the next periodic decisions
-	idle           bool          // periodic decisions are skipped
+	started        bool           // the first step was taken
+	wakeAt         time.Duration  // At of the last ActionWake
+	nextPeriodicAt time.Duration  // time of the next periodic decisions
+	idle           bool           // periodic decisions are skipped
 }
 
 // start reports whether this is the first step.
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -15,27 +15,41 @@
 const agentCheckInterval = time.Second
 
 // startRun sends a request to the agent to be run. If the request's key already has a run, it is not run again, whatever
-// the controller has decided.
+// the controller has decided. Nor is it run if its ID can't be remembered, because a copy of it could then run as well.
 func (s *Server) startRun(request *activeRequest) {
-	if !s.idempotency.mayRun(request) {
+	switch {
+	case !s.idempotency.mayRun(request):
 		s.warnings.WarnFields("idempotency", "second run under an idempotency key prevented", nil, logrus.Fields{
 			fieldRequestID:    request.attempt.ID,
 			"idempotency_key": request.attempt.IdempotencyKey,
 		})
-		s.admission.enqueue(admission.RunCompleted(request.id, admission.Completion{Outcome: admission.OutcomeNotStarted}))
-		s.answer(request, Answer{Kind: Failed})
-		s.removeRequest(request)
+		s.endWithoutRun(request, Failed)
+		return
+	case !s.completed.hasRoomToRun(s.clock.now, s.config.maxArrivalAge()):
+		s.warnings.WarnFields("completed IDs", "no memory for the IDs of further runs, request rejected", nil, logrus.Fields{
+			fieldRequestID: request.attempt.ID,
+			"ids":          s.completed.ran.size(),
+		})
+		request.trace.reason = traceReason(admission.ReasonMemory.String())
+		s.endWithoutRun(request, Rejected)
 		return
 	}
 	s.stats.Runs++
 	request.state = requestRunning
 	request.startedAt = s.clock.now
 	s.idempotency.markRunning(request)
-	s.markCompleted(request)
+	s.completed.addRan(request.attempt.ID)
 	s.agent.Launch(request.attempt.ID, request.attempt.Class, request.attempt.Body)
 	request.attempt.Body = nil // the link keeps the body for as long as it needs it
 }
 
+// endWithoutRun answers and removes a request that the controller has started, but that is not run.
+func (s *Server) endWithoutRun(request *activeRequest, kind AnswerKind) {
+	s.admission.enqueue(admission.RunCompleted(request.id, admission.Completion{Outcome: admission.OutcomeNotStarted}))
+	s.answer(request, Answer{Kind: kind})
+	s.removeRequest(request)
+}
+
 // skipCall lets a run continue without the call that it waits for.
 func (s *Server) skipCall(request *activeRequest) {
 	s.stats.CallsSkipped++
--- a/internal/server/respond.go
+++ b/internal/server/respond.go
@@ -122,6 +122,9 @@
 	result := runResult{ok: outcome == admission.OutcomeOK, body: body}
 	s.abandonCall(request)
 	s.agent.DiscardCommands(request.attempt.ID)
+	if outcome == admission.OutcomeNotStarted {
+		s.completed.removeRan(request.attempt.ID)
+	}
 	s.enqueueDone(request, outcome)
 	s.answerResult(request, result)
 	for _, retry := range s.idempotency.runEnded(request, outcome, body) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,6 +62,7 @@
 		deadlines:     deadline.New(),
 		config:        newConfiguration(cfg),
 		requests:      newRequestTable(),
+		completed:     newCompletedIDs(cfg.Limits.MemoryMB),
 		idempotency:   newIdempotencyTable(maxResultBytes(cfg.Limits.MemoryMB, 1)),
 		connections:   newConnectionTable(cfg.Settings.IdleTimeout),
 		health:        newHealthState(),
