Requests that were cancelled no longer stay in the run queue until they reach its front

Cause: the run queue of a class drops a removed request only at the front. While the front waits, all that clients send and cancel stays behind it. Fix: the queue of a class is purged once it has doubled since the last purge, as the deadlines are. Tests: TestRemovedRequestsAreDropped failed before (1,026 entries, want 1,025 at most).

--- a/admission/request_queue.go
+++ b/admission/request_queue.go
@@ -1,10 +1,13 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // requestQueue holds the requests that wait to run, and maintains their counts and sums of work. Each class
 // has a FIFO queue. The next request is the class front with the earliest latest start. Removal is lazy: a
-// removed request stays in its slice and is dropped when it reaches the front.
+// removed request stays in its slice until it reaches the front or the slice is purged.
 type requestQueue struct {
 	classes []classQueue // indexed by class
 	count   int          // queued requests of all classes
@@ -16,6 +19,7 @@
 	requests []*request // in order of entry; may contain requests that were removed
 	count    int        // queued requests, without removed ones
 	work     float64    // in seconds of a standard core, without removed requests
+	purge    purgeThreshold
 }
 
 // grow extends the queue to the given number of classes.
@@ -27,6 +31,7 @@
 func (q *requestQueue) push(request *request) {
 	request.state = queued
 	class := &q.classes[request.class]
+	class.purgeRemoved()
 	class.requests = append(class.requests, request)
 	class.count++
 	class.work += request.work
@@ -34,6 +39,15 @@
 	q.work += request.work
 }
 
+// purgeRemoved drops the requests that were removed, if there may be many.
+func (c *classQueue) purgeRemoved() {
+	if !c.purge.reached(len(c.requests)) {
+		return
+	}
+	c.requests = slices.DeleteFunc(c.requests, func(entry *request) bool { return entry.state != queued })
+	c.purge.purged(len(c.requests))
+}
+
 // remove subtracts a request from the counts and sums. The caller must then change the state of the request,
 // so that the queue skips it.
 func (q *requestQueue) remove(request *request) {
--- a/admission/request_queue_test.go
+++ b/admission/request_queue_test.go
@@ -121,3 +121,27 @@
 	}
 	require.Zero(t, newRequest(now, 1, &Arrival{MemoryKB: -5}, class).memoryKB)
 }
+
+// A client that cancels each request at once must not make the queue grow with its rate while the front of the queue waits.
+// Requests that had been removed were kept until they reached the front, and took the server over its memory.
+func TestRemovedRequestsAreDropped(t *testing.T) {
+	var queue requestQueue
+	queue.grow(1)
+	waiting := &request{}
+	queue.push(waiting)
+	var last *request
+	for range 100 * minPurgeSize {
+		cancelled := &request{}
+		queue.push(cancelled)
+		queue.remove(cancelled)
+		cancelled.state = released
+		last = &request{}
+		require.LessOrEqual(t, len(queue.classes[0].requests), minPurgeSize+1)
+	}
+	queue.push(last)
+	require.Same(t, waiting, queue.front(0))
+	queue.remove(waiting)
+	waiting.state = running
+	require.Same(t, last, queue.front(0))
+	require.Equal(t, 1, queue.count)
+}
