Attempts and runs that have ended leave the lists in which they waited

Fix: an attempt leaves the waiters of its key when it is released; the other two are purged like the deadlines. Tests: TestEndedFollowersAreDropped, TestEndedRunsLeaveQueueForCalls and TestEndedAttemptsDoNotWaitForResult failed before. No caller is known to have met this.

--- a/admission/calls.go
+++ b/admission/calls.go
@@ -20,6 +20,7 @@
 type callScheduler struct {
 	classes   []Class
 	waiting   timedqueue.Queue[*request] // ordered by usefulUntil; may contain requests that no longer wait
+	purge     purgeThreshold             // of waiting
 	limiter   *callLimiter
 	breaker   *circuitBreaker
 	estimator *estimator
@@ -46,9 +47,19 @@
 	request.state = awaitingCall
 	request.callStateSince = now
 	s.limiter.waitingCount++
+	s.purgeWaiting()
 	s.waiting.Push(request.usefulUntil, request)
 }
 
+// purgeWaiting drops the requests that no longer wait for their call, if there may be many.
+func (s *callScheduler) purgeWaiting() {
+	if !s.purge.reached(s.waiting.Len()) {
+		return
+	}
+	s.waiting.DeleteFunc(func(entry *request) bool { return entry.state != awaitingCall || entry.answered })
+	s.purge.purged(s.waiting.Len())
+}
+
 // requeue adds a request to the queue again after its call has failed and the backoff has passed.
 func (s *callScheduler) requeue(now time.Duration, request *request) {
 	s.limiter.waitingCount--
--- a/admission/calls_test.go
+++ b/admission/calls_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"falldeal/admission/internal/rolling"
+
+	"github.com/stretchr/testify/require"
 )
 
 // A call that the circuit breaker drops must end the wait of its run: the run continues if its class may skip
@@ -261,3 +263,23 @@
 	requireAction(t, controller.Step(0, []Event{arrived(id, class)}, nil), ActionRun, id)
 	return controller.Step(ms, []Event{CallNeeded(id)}, nil)
 }
+
+// Runs that end while they wait for their call must not stay in the queue for calls until the time to which they were useful:
+// with many short runs, that would grow with their rate.
+func TestEndedRunsLeaveQueueForCalls(t *testing.T) {
+	settings := testSettings()
+	controller := startController(t, settings)
+	calls := &controller.calls
+	waiting := &request{usefulUntil: time.Second}
+	calls.wait(1, waiting)
+	for range 100 * minPurgeSize {
+		ended := &request{usefulUntil: time.Minute}
+		calls.wait(1, ended)
+		calls.stopWaiting()
+		ended.state = released
+		require.LessOrEqual(t, calls.waiting.Len(), minPurgeSize)
+	}
+	first, _, _ := calls.waiting.Peek()
+	require.Same(t, waiting, first)
+	require.Equal(t, 1, calls.limiter.waitingCount)
+}
--- a/admission/idempotency_test.go
+++ b/admission/idempotency_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // Retries of a request that is idempotent by key must get the result of its run and must not run again,
@@ -57,3 +59,17 @@
 	requireAction(t, actions, ActionReject, 1)
 	requireNoAction(t, actions, ActionRun, 1)
 }
+
+// A client that sends retries of a request that waits to run, and cancels them at once, must not make the list of its followers
+// grow with its rate. Those that had ended were kept until the request ran.
+func TestEndedFollowersAreDropped(t *testing.T) {
+	leader, waiting := &request{id: 1, state: queued}, &request{id: 2}
+	waiting.follow(leader)
+	for range 100 * minPurgeSize {
+		cancelled := &request{}
+		cancelled.follow(leader)
+		cancelled.state = released
+		require.LessOrEqual(t, len(leader.followers), minPurgeSize)
+	}
+	require.Same(t, waiting, leader.followers[0])
+}
--- a/admission/request.go
+++ b/admission/request.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // requestState is the state of a request. The order of the values matters, since states are compared: up to
 // following, a request can still be rejected, and from running to calling it holds the memory of a run.
@@ -33,17 +36,18 @@
 	tenant       int // index into tenantQuotas.states
 	state        requestState
 	fleetRank    FleetRank
-	retry        bool          // marked as a retry
-	answered     bool          // answered or cancelled: needs no answer any more
-	ran          bool          // was started
-	remembered   bool          // was added to the keyTable; the entry may have expired
-	memoryKB     float64       // memory while queued, in kB
-	work         float64       // in seconds of a standard core
-	retryJitter  time.Duration // added to the RetryAfter of a rejection
-	callTime     time.Duration // total time spent waiting for calls and in calls
-	callAttempts int           // number of calls made
-	leader       *request      // the attempt that this one follows; set while following
-	followers    []*request    // attempts that follow this one until it runs
+	retry        bool           // marked as a retry
+	answered     bool           // answered or cancelled: needs no answer any more
+	ran          bool           // was started
+	remembered   bool           // was added to the keyTable; the entry may have expired
+	memoryKB     float64        // memory while queued, in kB
+	work         float64        // in seconds of a standard core
+	retryJitter  time.Duration  // added to the RetryAfter of a rejection
+	callTime     time.Duration  // total time spent waiting for calls and in calls
+	callAttempts int            // number of calls made
+	leader       *request       // the attempt that this one follows; set while following
+	followers    []*request     // attempts that follow this one until it runs; may contain released ones
+	purge        purgeThreshold // of followers
 
 	firstAttemptAt time.Duration // when the client sent the first attempt; arrivedAt if unknown
 	arrivedAt      time.Duration // when the request reached the machine
@@ -91,5 +95,17 @@
 func (r *request) follow(leader *request) {
 	r.state = following
 	r.leader = leader
+	leader.purgeFollowers()
 	leader.followers = append(leader.followers, r)
 }
+
+// purgeFollowers drops the followers that have ended, if there may be many.
+func (r *request) purgeFollowers() {
+	if !r.purge.reached(len(r.followers)) {
+		return
+	}
+	r.followers = slices.DeleteFunc(r.followers, isReleased)
+	r.purge.purged(len(r.followers))
+}
+
+func isReleased(r *request) bool { return r.state == released }
--- a/internal/server/idempotency.go
+++ b/internal/server/idempotency.go
@@ -221,7 +221,9 @@
 	if entry == nil {
 		return nil
 	}
-	entry.attempts = slices.DeleteFunc(entry.attempts, func(other *activeRequest) bool { return other == request })
+	isRequest := func(other *activeRequest) bool { return other == request }
+	entry.attempts = slices.DeleteFunc(entry.attempts, isRequest)
+	entry.waiters = slices.DeleteFunc(entry.waiters, isRequest)
 	switch {
 	case entry.holder != request.id:
 		return nil
--- a/internal/server/idempotency_test.go
+++ b/internal/server/idempotency_test.go
@@ -158,3 +158,24 @@
 		})
 	}
 }
+
+// A client that sends retries of a request that runs, and cancels them at once, must not make the list of those that wait for
+// its result grow with its rate. Those that had ended were kept until the run ended.
+func TestEndedAttemptsDoNotWaitForResult(t *testing.T) {
+	keys := newIdempotencyTable(maxResultBytes(64, 1))
+	running, waiting := requestWithKey(1, 0), requestWithKey(2, 0)
+	keys.register(running)
+	keys.markRunning(running)
+	keys.register(waiting)
+	_, ended := keys.awaitResult(waiting)
+	require.False(t, ended)
+	for id := 3; id < 1000; id++ {
+		cancelled := requestWithKey(id, 0)
+		keys.register(cancelled)
+		_, ended := keys.awaitResult(cancelled)
+		require.False(t, ended)
+		keys.release(cancelled)
+		require.Len(t, keys.entries["k"].waiters, 1)
+	}
+	require.Equal(t, []*activeRequest{waiting}, keys.runEnded(running, admission.OutcomeOK, nil))
+}
