The key of a request that the agent did not run is forgotten

Callers saw: clients whose keyed requests the agent does not know fill the memory for keys, and orders of others are rejected for the whole window. Cause: the controller forgets the key of a request that ends without a run, but took one for run as soon as it was started, also if the agent then rejected it. The server's own table drops such a key. Fix: an outcome that says that the run did not start forgets the key, as a rejection does. A retry that shared the run fails as before. Test: TestKeyOfRunThatNeverStartedIsForgotten failed before, at the first request.

--- a/admission/key_table_test.go
+++ b/admission/key_table_test.go
@@ -77,3 +77,25 @@
 		require.Equal(t, reuses, keys.reusesResults(class), class)
 	}
 }
+
+// A request that was started, but that the agent did not run, must not keep memory for its key: clients whose requests the agent
+// does not know filled the memory, and orders of others were rejected for the whole window.
+func TestKeyOfRunThatNeverStartedIsForgotten(t *testing.T) {
+	settings := testSettings()
+	settings.MemoryKB = 1000
+	settings.KeyMemoryKB = 100
+	settings.Classes = settings.Classes[:1]
+	settings.Classes[0].Idempotency = IdempotentByKey
+	settings.Classes[0].IdempotencyWindow = time.Minute
+	controller := startController(t, settings)
+	now := time.Duration(1)
+	for id := RequestID(1); id <= 100; id++ {
+		now += ms
+		actions := controller.Step(now, []Event{RequestArrived(id, Arrival{MemoryKB: 1, CostHint: ms})}, nil)
+		require.Contains(t, actions, Action{Kind: ActionRun, ID: id})
+		outcome := Completion{Outcome: OutcomeNotStarted}
+		require.Contains(t, controller.Step(now, []Event{RunCompleted(id, outcome)}, nil), Action{Kind: ActionForget, ID: id})
+	}
+	require.Zero(t, controller.keys.len())
+	require.InDelta(t, 0, controller.memory.usedKB, 1e-9)
+}
--- a/admission/runs.go
+++ b/admission/runs.go
@@ -66,6 +66,9 @@
 		c.actions.emit(Action{Kind: ActionFail, ID: request.id})
 	}
 	c.keys.runEnded(c.now, request, outcome)
+	if outcome == OutcomeNotStarted {
+		request.ran = false // release then forgets its key
+	}
 	c.release(request)
 }
 
