Messages of the other process are handled before those of clients

While clients keep the loop busy, a process falls behind the other one, whose queue of messages to it fills. Fix: events of links to other processes have a queue of their own, which the loop empties first in each turn. Its bound is 1,024 events, and what package handover reads ahead.

--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -144,6 +144,7 @@
 
 // shutDown ends the loop. Requests that were read by then are answered, and all answers are still written.
 func (s *Server) shutDown() {
+	s.handlePeers()
 	// Readers that are blocked on a full inbox refill it while it is emptied. The limit ensures that this loop ends.
 	for n := 2 * inboxCapacity; n > 0 && s.inbox.waiting() > 0; n-- {
 		s.handlePending(1)
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -91,7 +91,7 @@
 
 func (s *Server) handoverLoop() handover.Loop {
 	return handover.Loop{
-		Post:          s.post,
+		Post:          s.postPeer,
 		OnPredecessor: s.predecessorJoined,
 		OnSuccessor:   s.successorJoined,
 		OnMessage:     s.handlePeerMessage,
--- a/internal/server/inbox.go
+++ b/internal/server/inbox.go
@@ -1,7 +1,12 @@
 package server
 
-// inboxCapacity is the maximum number of events that wait for the loop.
-const inboxCapacity = 1024
+const (
+	// inboxCapacity is the maximum number of events that wait for the loop.
+	inboxCapacity = 1024
+	// peerInboxCapacity is the maximum number of events of links to other processes that wait for the loop. They also have a
+	// limit in bytes, which package handover keeps.
+	peerInboxCapacity = 1024
+)
 
 // event is something that has happened outside the loop. The loop calls handle once, on its own goroutine.
 type event interface {
@@ -15,14 +20,20 @@
 func (t task) handle(*Server) { t() }
 
 // inbox passes events to the loop, in the order in which they were put. Any goroutine may put events; only the loop takes
-// them.
+// them. Events of links to other processes of the image server have a queue of their own, which is handled first: clients
+// that fill the other one must not make this process fall behind what the other process does.
 type inbox struct {
 	events chan event
+	peers  chan event    // of links to other processes
 	closed chan struct{} // closed when the loop has ended
 }
 
 func newInbox() inbox {
-	return inbox{events: make(chan event, inboxCapacity), closed: make(chan struct{})}
+	return inbox{
+		events: make(chan event, inboxCapacity),
+		peers:  make(chan event, peerInboxCapacity),
+		closed: make(chan struct{}),
+	}
 }
 
 // put adds an event, and blocks while the inbox is full. Events are discarded after the loop has ended.
@@ -49,6 +60,21 @@
 // post makes the loop call f.
 func (s *Server) post(f func()) { s.inbox.put(task(f)) }
 
+// postPeer makes the loop call f before all events that do not come from links to other processes.
+func (s *Server) postPeer(f func()) {
+	select {
+	case s.inbox.peers <- task(f):
+	case <-s.inbox.closed:
+	}
+}
+
+// handlePeers handles the events of links to other processes that are in the inbox now.
+func (s *Server) handlePeers() {
+	for n := len(s.inbox.peers); n > 0; n-- {
+		(<-s.inbox.peers).handle(s)
+	}
+}
+
 // handlePending handles the events that are in the inbox now, but at most limit of them.
 func (s *Server) handlePending(limit int) {
 	for n := min(s.inbox.waiting(), limit); n > 0; n-- {
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -54,8 +54,12 @@
 		select {
 		case <-ctx.Done():
 			return
+		case e := <-s.inbox.peers:
+			s.clock.advance()
+			e.handle(s)
 		case e := <-s.inbox.events:
 			s.clock.advance()
+			s.handlePeers()
 			e.handle(s)
 		case <-timer.C:
 		}
@@ -84,10 +88,11 @@
 	}
 }
 
-// turn handles events from the inbox, runs expired deadlines and lets the controller take one step. Events are handled
+// turn handles events from the inbox, those of other processes first, runs expired deadlines and lets the controller take one step. Events are handled
 // before deadlines: after a pause of the process, messages that arrived during the pause still count as in time.
 func (s *Server) turn() {
 	s.clock.advance()
+	s.handlePeers()
 	s.handlePending(maxEventsPerTurn)
 	s.clock.advance()
 	s.runExpired()
