The link between two processes no longer fills with what clients send

The link between the two processes ends, though both live. Cause of its end: the write queue of 4,096 messages was full, and a full queue closes the connection. Each keyed request that arrived was published, and again as it was rejected; the successor sent a claim for each, without a limit. So the messages grew with the rate at which clients are rejected, and nothing held them back. Evidence: 19,929 messages for 10,000 rejected requests. Fix: - A process tells the other only of keys that it has run, or that the other has asked for. An unknown key is claimed anyway. - What is to be told is kept as a set of keys, and sent from their current state once there is room (256 unwritten messages; 64 for results; 2 batches for the keys at the start). It is bounded by the number of keys. - At most 256 claims are in flight; further ones wait, and are dropped with their last request. An older process that claims without a limit gets no answer above 512 unwritten messages; its requests then fail, as claims without an answer do. Related, in the same tables: an answered claim left its request in a deadline for up to 500 ms, a claim without an answer for ever, and a key that the successor had released left its entry until the end of the longest window (1,002 deadlines after 1,000 keys). Both are removed at once. New metric: peer_keys. The queue of the tests' link has the size of the real one now (4,096, was 100).

--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -133,13 +133,13 @@
 	return s.drained() || s.clock.now >= s.drain.stopAt
 }
 
-// drained reports whether all front ends have gone. A replaced process also waits for the results of its runs with
-// idempotency keys, which answer retries at the successor.
+// drained reports whether all front ends have gone. A replaced process also waits until its successor knows its keys, and for
+// the results of its runs with idempotency keys, which answer retries at the successor.
 func (s *Server) drained() bool {
 	if s.drain.phase != drainListenersClosed || s.listeners.serving != 0 || !s.connections.empty() {
 		return false
 	}
-	return !s.drain.replaced || !s.idempotency.hasLocalRun()
+	return !s.drain.replaced || !s.idempotency.hasLocalRun() && s.handover.synchronized()
 }
 
 // shutDown ends the loop. Requests that were read by then are answered, and all answers are still written.
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -1,39 +1,32 @@
 package server
 
 import (
-	"time"
-
 	"falldeal/internal/handover"
 )
 
 // Handover: while a successor takes the place of its predecessor, two processes form one image server. A request with an
 // idempotency key is run by one of them only: the predecessor knows by which, and the successor claims a key before it
-// runs a request with it. Each process notifies the other of the end of its runs, so that results answer attempts at both.
-
-const (
-	claimTimeout       = 500 * time.Millisecond // for the predecessor's answer to a claim
-	claimDeadlineSlack = 20 * time.Millisecond  // a claim expires this long before the client's deadline
+// runs a request with it (claims.go). Each process tells the other of its runs and their results, which answer attempts at
+// both (key_outbox.go).
 
-	// maxUnwrittenResults is the number of unwritten messages to another process above which no results are sent to it.
-	maxUnwrittenResults = 64
-)
+// maxUnwrittenAnswers is the number of unwritten messages to a process above which its claims are not answered. Only a process
+// of an older version, which does not limit its claims in flight, reaches it; the requests that wait for the claims then fail.
+const maxUnwrittenAnswers = 2 * maxClaimsInFlight
 
 // handoverState is the loop's view of the other processes of this image server. The loop owns it.
 type handoverState struct {
-	predecessor *handover.Link              // nil if there is none
-	successor   *handover.Link              // nil if there is none
-	synced      bool                        // all keys of the predecessor are known here, or there is no predecessor
-	claims      map[string][]*activeRequest // requests that wait for the answer to the claim on their key, by key
-	syncs       map[*handover.Link]*keySync // keys that successors are still to be told
+	predecessor *handover.Link // nil if there is none
+	successor   *handover.Link // nil if there is none
+	synced      bool           // all keys of the predecessor are known here, or there is no predecessor
+
+	claims   claimTable
+	outboxes map[*handover.Link]*keyOutbox // what the other processes are still to be told
 }
 
 func newHandoverState() handoverState {
-	return handoverState{claims: map[string][]*activeRequest{}, syncs: map[*handover.Link]*keySync{}}
+	return handoverState{claims: newClaimTable(), outboxes: map[*handover.Link]*keyOutbox{}}
 }
 
-// paired reports whether there is a link to another process of this image server.
-func (h *handoverState) paired() bool { return h.predecessor != nil || h.successor != nil }
-
 // links returns the links to other processes of this image server.
 func (h *handoverState) links() (links []*handover.Link) {
 	for _, link := range []*handover.Link{h.predecessor, h.successor} {
@@ -44,49 +37,14 @@
 	return links
 }
 
-// publish notifies the other processes of a change to a key that this process owns.
-func (h *handoverState) publish(key string, message handover.Message) {
-	for _, link := range h.linksFor(key) {
-		link.Publish(message)
-	}
-}
-
-// publishResult notifies the other processes of the end of a run of this process. While many messages to a process are
-// unwritten, it is not sent the result, which would take memory here: that process then knows that the key was run, and
-// fails retries.
-func (h *handoverState) publishResult(key string, result runResult) {
-	for _, link := range h.linksFor(key) {
-		if link.Unwritten() > maxUnwrittenResults {
-			link.Publish(handover.RunCompleted{IdempotencyKey: key})
-		} else {
-			link.Publish(handover.RunCompleted{IdempotencyKey: key, OK: result.ok, Result: result.body})
-		}
-	}
-}
-
-// linksFor returns the links to the processes that must be notified of a change to a key.
-func (h *handoverState) linksFor(key string) (links []*handover.Link) {
-	for _, link := range h.links() {
-		if !h.syncs[link].covers(key) {
-			links = append(links, link)
+// synchronized reports whether all linked successors know the keys that this process knew when they joined.
+func (h *handoverState) synchronized() bool {
+	for _, outbox := range h.outboxes {
+		if !outbox.synced {
+			return false
 		}
 	}
-	return links
-}
-
-// addClaim records that a request waits for the answer to the claim on its key, and reports whether it is the first
-// request to do so.
-func (h *handoverState) addClaim(request *activeRequest) (first bool) {
-	key := request.attempt.IdempotencyKey
-	h.claims[key] = append(h.claims[key], request)
-	return len(h.claims[key]) == 1
-}
-
-// takeClaims returns the requests that wait for the answer to the claim on a key, and removes them from the claims.
-func (h *handoverState) takeClaims(key string) []*activeRequest {
-	waiting := h.claims[key]
-	delete(h.claims, key)
-	return waiting
+	return true
 }
 
 func (s *Server) handoverLoop() handover.Loop {
@@ -107,6 +65,7 @@
 		return
 	}
 	s.log.Info("predecessor process connected")
+	s.handover.outboxes[link] = newKeyOutbox(link, false)
 	s.checkProcesses()
 }
 
@@ -119,7 +78,7 @@
 	}
 	s.publishStatus()
 	s.checkProcesses()
-	s.handover.syncs[link] = &keySync{link: link}
+	s.handover.outboxes[link] = newKeyOutbox(link, true)
 	s.whenMemoryLimited(func() { s.startKeySync(link) })
 }
 
@@ -176,9 +135,13 @@
 // with that key here, unless the successor releases it. A claim does not contain the class of the request, so the entry
 // gets the longest window of all classes: a shorter one could end while the key must not be run again.
 func (s *Server) handleKeyClaim(link *handover.Link, claim handover.KeyClaim) {
+	outbox := s.handover.outboxes[link]
+	if outbox == nil || link.Unwritten() > maxUnwrittenAnswers {
+		return
+	}
 	entry := s.idempotency.entries[claim.IdempotencyKey]
 	if entry != nil && !entry.expired(claim.ArrivedAt) {
-		link.Publish(entry.messages()...)
+		outbox.answer(entry)
 		return
 	}
 	s.adoptKey(link, handover.KeyKnown{
@@ -191,9 +154,12 @@
 
 // handleKeyGranted resumes the requests that wait for a key. If none of them is active any more, it releases the key.
 func (s *Server) handleKeyGranted(link *handover.Link, key string) {
+	if outbox := s.handover.outboxes[link]; outbox != nil {
+		outbox.told[key] = toldKnown
+	}
 	s.resumeClaimed(key)
 	if s.idempotency.entries[key] == nil {
-		link.Publish(handover.KeyReleased{IdempotencyKey: key})
+		s.keyChanged(key)
 	}
 }
 
@@ -210,10 +176,19 @@
 	}
 }
 
-// peerEnded handles the end of the other process. Runs of that process whose end is unknown may have had their effect, so
-// the attempts that wait for them fail.
+// failPeerRuns handles that no further message comes from another process. Runs of that process whose end is unknown may have
+// had their effect, so the attempts that wait for them fail.
+func (s *Server) failPeerRuns(link *handover.Link) {
+	for _, entry := range s.idempotency.entries {
+		if entry.owner == link && entry.state != entryCompleted {
+			s.completePeerRun(entry, runResult{})
+		}
+	}
+}
+
+// peerEnded handles the end of the other process.
 func (s *Server) peerEnded(link *handover.Link) {
-	delete(s.handover.syncs, link)
+	delete(s.handover.outboxes, link)
 	switch link {
 	case s.handover.predecessor:
 		s.log.Info("predecessor process disconnected")
@@ -223,15 +198,12 @@
 		s.handover.successor = nil
 	}
 	s.checkProcesses()
-	for _, entry := range s.idempotency.entries {
-		if entry.owner == link && entry.state != entryCompleted {
-			s.completePeerRun(entry, runResult{})
-		}
-	}
+	s.failPeerRuns(link)
 	if s.handover.predecessor == nil {
 		s.markSynced()
-		for key := range s.handover.claims {
-			s.resumeClaimed(key)
+		for _, request := range s.handover.claims.takeAll() {
+			s.endClaim(request)
+			s.submitToController(request)
 		}
 	}
 }
@@ -242,41 +214,3 @@
 		s.handover.predecessor != nil &&
 		s.idempotency.lookup(request) == nil
 }
-
-// claimKey claims the key of a request, which then waits for the predecessor's answer. Without an answer in time the
-// request fails, because another attempt may have been run.
-func (s *Server) claimKey(request *activeRequest) {
-	request.state = requestClaiming
-	first := s.handover.addClaim(request)
-	claimDeadline := min(s.clock.now+claimTimeout, s.clientDeadline(request)-claimDeadlineSlack)
-	s.deadlines.Add(claimDeadline, func() { s.expireClaim(request) })
-	if !first {
-		return
-	}
-	s.stats.Claims++
-	s.handover.predecessor.Publish(handover.KeyClaim{
-		IdempotencyKey: request.attempt.IdempotencyKey,
-		Digest:         bodyDigest(&request.attempt),
-		ArrivedAt:      request.attempt.ArrivedAt,
-	})
-}
-
-// expireClaim fails a request if it still waits for the answer to a claim.
-func (s *Server) expireClaim(request *activeRequest) {
-	if request.state != requestClaiming || !s.requests.contains(request) {
-		return
-	}
-	s.stats.ClaimsTimedOut++
-	s.answer(request, Answer{Kind: Failed})
-	s.removeRequest(request)
-}
-
-// resumeClaimed resumes the requests that wait for the answer to the claim on a key.
-func (s *Server) resumeClaimed(key string) {
-	for _, request := range s.handover.takeClaims(key) {
-		request.state = requestQueued
-		if s.requests.contains(request) {
-			s.submitToController(request)
-		}
-	}
-}
--- a/internal/server/handover_test.go
+++ b/internal/server/handover_test.go
@@ -36,7 +36,7 @@
 	}
 	here, there := net.Pipe()
 	require.NoError(t, there.SetDeadline(time.Now().Add(30*time.Second)))
-	fixture.link = &handover.Link{Queue: writequeue.New(here, 100)}
+	fixture.link = &handover.Link{Queue: writequeue.New(here, 4096)}
 	fixture.published = bufio.NewScanner(there)
 	ended := make(chan struct{})
 	go func() {
--- a/internal/server/idempotency.go
+++ b/internal/server/idempotency.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"falldeal/admission"
+	"falldeal/internal/deadline"
 	"falldeal/internal/handover"
 )
 
@@ -24,24 +25,40 @@
 }
 
 // idempotencyTable finds the attempts of one request by their key, and ensures that at most one of them is run within the
-// key's window. The window starts at the arrival of the attempt that is run. The other processes of this image server are
-// notified of each change. The loop owns it.
+// key's window. The window starts at the arrival of the attempt that is run. The loop owns it.
 type idempotencyTable struct {
 	entries        map[string]*idempotencyEntry         // by key
 	byRequest      map[*activeRequest]*idempotencyEntry // entries of active requests
 	resultBytes    int                                  // total size of all retained results
 	maxResultBytes int                                  // upper bound of resultBytes
-	peers          *handoverState                       // the other processes of this image server
+	observer       keyObserver                          // tells the other processes of this image server
+	deadlines      *deadline.Queue                      // holds the expiries of entries
 }
 
-// newIdempotencyTable returns an empty table that retains results of up to maxResultBytes. Its changes are not sent to other
-// processes until peers is replaced.
+// keyObserver is told of the changes of keys that this process owns.
+type keyObserver interface {
+	keyChanged(key string) // it was run, or dropped without a run
+	runCompleted(key string, result runResult)
+	runNotStarted(key string) // a further attempt may be run
+	keyForgotten(key string)  // dropped after a run
+}
+
+// noObserver is the keyObserver of a process that is alone.
+type noObserver struct{}
+
+func (noObserver) keyChanged(string)              {}
+func (noObserver) runCompleted(string, runResult) {}
+func (noObserver) runNotStarted(string)           {}
+func (noObserver) keyForgotten(string)            {}
+
+// newIdempotencyTable returns an empty table that retains results of up to maxResultBytes.
 func newIdempotencyTable(maxResultBytes int) idempotencyTable {
 	return idempotencyTable{
 		entries:        map[string]*idempotencyEntry{},
 		byRequest:      map[*activeRequest]*idempotencyEntry{},
 		maxResultBytes: maxResultBytes,
-		peers:          &handoverState{},
+		observer:       noObserver{},
+		deadlines:      deadline.New(),
 	}
 }
 
@@ -112,9 +129,6 @@
 	entry.holder = request.id
 	entry.windowEnd = request.attempt.ArrivedAt + request.idempotencyWindow
 	t.entries[entry.key] = entry
-	if t.peers.paired() {
-		t.peers.publish(entry.key, entry.known())
-	}
 }
 
 // adopt adds or renews the entry of a key that another process owns. The entry counts as running from the start, because
@@ -156,6 +170,7 @@
 	if entry := t.byRequest[request]; entry != nil {
 		t.setHolder(entry, request)
 		entry.state = entryRunning
+		t.observer.keyChanged(entry.key)
 	}
 }
 
@@ -181,13 +196,13 @@
 	}
 	if outcome == admission.OutcomeNotStarted {
 		entry.state = entryPending
+		t.observer.runNotStarted(entry.key)
 		return entry.takeWaiters()
 	}
 	result := runResult{ok: outcome == admission.OutcomeOK, body: body}
-	if t.peers.paired() {
-		t.peers.publishResult(entry.key, result)
-	}
-	return t.complete(entry, result)
+	waiters := t.complete(entry, result)
+	t.observer.runCompleted(entry.key, result)
+	return waiters
 }
 
 // complete records the end of the run of an entry, and returns the attempts that waited for it. A successful result is
@@ -236,9 +251,7 @@
 		return nil
 	}
 	t.drop(entry)
-	if t.peers.paired() {
-		t.peers.publish(entry.key, handover.KeyReleased{IdempotencyKey: entry.key})
-	}
+	t.observer.keyChanged(entry.key)
 	return nil
 }
 
@@ -268,7 +281,12 @@
 func (t *idempotencyTable) drop(entry *idempotencyEntry) {
 	if t.entries[entry.key] == entry {
 		delete(t.entries, entry.key)
+		if entry.hasRun() {
+			t.observer.keyForgotten(entry.key)
+		}
 	}
+	t.deadlines.Cancel(entry.expiry)
+	entry.expiry = nil
 	t.discardResult(entry)
 }
 
--- a/internal/server/idempotency_entry.go
+++ b/internal/server/idempotency_entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"falldeal/admission"
+	"falldeal/internal/deadline"
 	"falldeal/internal/handover"
 )
 
@@ -53,6 +54,7 @@
 	result    []byte              // of the run, if it is retained
 	waiters   []*activeRequest    // attempts that wait for the end of the run
 	windowEnd time.Duration       // end of the window; Unix time
+	expiry    *deadline.Entry     // drops the entry; nil while it has no run that has ended here
 }
 
 // reusableResult returns the result for further attempts. It is not ok if the run failed or its result was not retained.
@@ -76,19 +78,6 @@
 	return handover.KeyKnown{IdempotencyKey: e.key, Digest: e.digest, WindowEnd: e.windowEnd}
 }
 
-// messages returns the messages that announce the entry, and the end of its run if it has ended, to another process.
-func (e *idempotencyEntry) messages() []handover.Message {
-	messages := []handover.Message{e.known()}
-	if e.state == entryCompleted {
-		messages = append(messages, handover.RunCompleted{
-			IdempotencyKey: e.key,
-			OK:             e.reusable,
-			Result:         e.result,
-		})
-	}
-	return messages
-}
-
 // takeWaiters returns the attempts that wait for the end of the run, and removes them from the entry.
 func (e *idempotencyEntry) takeWaiters() []*activeRequest {
 	waiters := e.waiters
--- /dev/null
+++ b/internal/server/key_outbox.go
@@ -0,0 +1,260 @@
+package server
+
+import (
+	"time"
+
+	"falldeal/internal/handover"
+)
+
+const (
+	// keyBatchBytes is about the size of the messages that are encoded at a time.
+	keyBatchBytes = 32 << 10
+	// outboxInterval is the pause while too many messages wait to be written.
+	outboxInterval = 2 * time.Millisecond
+	// maxUnwrittenSync is the number of unwritten messages to the successor at which no further keys that were known when it
+	// joined are encoded.
+	maxUnwrittenSync = 2
+	// maxUnwrittenResults is the number of unwritten messages to another process above which no results are sent to it.
+	maxUnwrittenResults = 64
+	// maxUnwrittenChanges is the number of unwritten messages to another process at which changes of keys wait.
+	maxUnwrittenChanges = 256
+	// keyMessageBytes is about the size of the messages on a key without its result.
+	keyMessageBytes = 200
+)
+
+// toldState is what another process was told last of a key of this process.
+type toldState uint8
+
+const (
+	toldNothing   toldState = iota
+	toldKnown               // the key is in use here, and the other process waits for its outcome
+	toldRunning             // the key was run, with the window of that run
+	toldCompleted           // the run has ended, with its result
+)
+
+func (t toldState) String() string {
+	return [...]string{"nothing", "known", "running", "completed"}[t]
+}
+
+// keyOutbox tells another process of the keys of this one, from their current state: a key that changes several times before
+// there is room for a message is told of once. So what waits for a process that reads slowly is bounded by the number of keys,
+// and not by the number of requests.
+//
+// A process is told only of keys that were run. It claims any other key before it runs it, and gets the state of that key as
+// the answer. A request that is rejected thus causes a message only if the other process has asked for its key.
+type keyOutbox struct {
+	link      *handover.Link
+	successor bool                // link leads to a successor, which must first be told of all keys
+	started   bool                // the first keys may be sent
+	unsent    map[string]struct{} // keys that were known when the successor joined, and are still to be sent
+	synced    bool                // all of those were sent
+	changed   map[string]struct{} // keys with changes that wait for room
+	told      map[string]toldState
+	retry     bool // a deadline continues to send
+}
+
+func newKeyOutbox(link *handover.Link, successor bool) *keyOutbox {
+	return &keyOutbox{
+		link:      link,
+		successor: successor,
+		started:   !successor,
+		synced:    !successor,
+		changed:   map[string]struct{}{},
+		told:      map[string]toldState{},
+	}
+}
+
+// covers reports whether the successor will be sent the state of a key, so that changes until then need no message.
+func (o *keyOutbox) covers(key string) bool {
+	_, unsent := o.unsent[key]
+	return unsent || !o.started
+}
+
+// maySendResult reports whether results may be sent.
+func (o *keyOutbox) maySendResult() bool { return o.link.Unwritten() <= maxUnwrittenResults }
+
+// answer sends the state of a key that the other process has claimed.
+func (o *keyOutbox) answer(entry *idempotencyEntry) {
+	delete(o.unsent, entry.key)
+	o.link.Publish(o.announce(entry)...)
+}
+
+// announce returns the messages that tell of an entry, and records that they are sent.
+func (o *keyOutbox) announce(entry *idempotencyEntry) []handover.Message {
+	messages := []handover.Message{entry.known()}
+	switch entry.state {
+	case entryCompleted:
+		o.told[entry.key] = toldCompleted
+		messages = append(messages, o.completion(entry))
+	case entryRunning:
+		o.told[entry.key] = toldRunning
+	case entryPending:
+		o.told[entry.key] = toldKnown
+	}
+	return messages
+}
+
+// completion returns the message that tells of the end of the run of an entry. The result is left out if too many messages
+// wait: it would take memory here. The other process then knows that the key was run, and fails retries.
+func (o *keyOutbox) completion(entry *idempotencyEntry) handover.Message {
+	if !o.maySendResult() {
+		return handover.RunCompleted{IdempotencyKey: entry.key}
+	}
+	return handover.RunCompleted{IdempotencyKey: entry.key, OK: entry.reusable, Result: entry.result}
+}
+
+// changeMessages returns the messages that tell of the change of a key. entry is nil if the key has none.
+func (o *keyOutbox) changeMessages(key string, entry *idempotencyEntry) []handover.Message {
+	told := o.told[key]
+	switch {
+	case entry == nil && told != toldNothing:
+		delete(o.told, key)
+		return []handover.Message{handover.KeyReleased{IdempotencyKey: key}}
+	case entry == nil, entry.owner != nil, !entry.hasRun(), told == toldCompleted:
+		return nil // nothing to tell, or the outcome follows
+	case entry.state == entryCompleted && told == toldRunning:
+		o.told[key] = toldCompleted
+		return []handover.Message{o.completion(entry)}
+	case entry.state == entryRunning && told == toldRunning:
+		return nil
+	}
+	return o.announce(entry)
+}
+
+// concerns reports whether the other process must be told of a key, as it is now or as it was told of it. entry is nil if the
+// key has none.
+func (o *keyOutbox) concerns(key string, entry *idempotencyEntry) bool {
+	return o.told[key] != toldNothing || entry != nil && entry.owner == nil && entry.hasRun()
+}
+
+// keyChanged tells the other processes of a change of a key of this process, now or when there is room for it.
+func (s *Server) keyChanged(key string) {
+	for _, outbox := range s.handover.outboxes {
+		switch {
+		case outbox.covers(key):
+		case outbox.concerns(key, s.idempotency.entries[key]):
+			outbox.changed[key] = struct{}{}
+			s.sendKeys(outbox)
+		default:
+			delete(outbox.changed, key)
+		}
+	}
+}
+
+// runNotStarted records that the run of a key of this process did not start, after the other processes may have been told
+// that it did. They are told of the next run, or that the key was released.
+func (s *Server) runNotStarted(key string) {
+	for _, outbox := range s.handover.outboxes {
+		if outbox.told[key] != toldNothing {
+			outbox.told[key] = toldKnown
+		}
+	}
+}
+
+// runCompleted tells the other processes of the end of a run of this one. Unlike keyChanged, it passes on the result also if
+// that is not retained here.
+func (s *Server) runCompleted(key string, result runResult) {
+	for _, outbox := range s.handover.outboxes {
+		if !outbox.covers(key) && outbox.told[key] == toldRunning && outbox.maySendResult() {
+			outbox.told[key] = toldCompleted
+			outbox.link.Publish(handover.RunCompleted{IdempotencyKey: key, OK: result.ok, Result: result.body})
+		}
+	}
+	s.keyChanged(key)
+}
+
+// keyForgotten records that the window of a key of this process has ended. The other processes know its end.
+func (s *Server) keyForgotten(key string) {
+	for _, outbox := range s.handover.outboxes {
+		delete(outbox.told, key)
+	}
+}
+
+// startKeySync starts to send all keys to a successor, unless its link has ended.
+func (s *Server) startKeySync(link *handover.Link) {
+	if outbox := s.handover.outboxes[link]; outbox != nil {
+		s.addAllKeys(outbox)
+		s.sendKeys(outbox)
+	}
+}
+
+// addAllKeys adds all keys to an outbox to which they were not added before.
+func (s *Server) addAllKeys(outbox *keyOutbox) {
+	if outbox.started {
+		return
+	}
+	outbox.started = true
+	outbox.unsent = make(map[string]struct{}, s.idempotency.size())
+	for key := range s.idempotency.entries {
+		outbox.unsent[key] = struct{}{}
+	}
+}
+
+// sendKeys sends what an outbox holds while there is room for it, and continues later if that leaves some.
+func (s *Server) sendKeys(outbox *keyOutbox) {
+	for len(outbox.changed) > 0 && outbox.link.Unwritten() < maxUnwrittenChanges {
+		outbox.link.Publish(s.takeChanges(outbox)...)
+	}
+	for len(outbox.unsent) > 0 && outbox.link.Unwritten() < maxUnwrittenSync {
+		outbox.link.Publish(s.takeUnsent(outbox)...)
+	}
+	if len(outbox.changed) > 0 || len(outbox.unsent) > 0 {
+		s.retrySendKeys(outbox)
+		return
+	}
+	if outbox.started && !outbox.synced {
+		outbox.synced = true
+		outbox.link.Publish(handover.KeysSynced{})
+	}
+}
+
+// retrySendKeys continues sendKeys after outboxInterval, unless that is scheduled already or the link has ended by then.
+func (s *Server) retrySendKeys(outbox *keyOutbox) {
+	if outbox.retry {
+		return
+	}
+	outbox.retry = true
+	s.deadlines.Add(s.clock.now+outboxInterval, func() {
+		outbox.retry = false
+		if s.handover.outboxes[outbox.link] == outbox {
+			s.sendKeys(outbox)
+		}
+	})
+}
+
+// takeChanges takes changed keys from an outbox, and returns messages of about keyBatchBytes on them.
+func (s *Server) takeChanges(outbox *keyOutbox) (messages []handover.Message) {
+	size := 0
+	for key := range outbox.changed {
+		if size >= keyBatchBytes {
+			break
+		}
+		delete(outbox.changed, key)
+		entry := s.idempotency.entries[key]
+		messages = append(messages, outbox.changeMessages(key, entry)...)
+		size += keyMessageBytes
+		if entry != nil {
+			size += len(entry.result)
+		}
+	}
+	return messages
+}
+
+// takeUnsent takes keys that were known when the successor joined from an outbox, and returns messages of about
+// keyBatchBytes on those that were run.
+func (s *Server) takeUnsent(outbox *keyOutbox) (messages []handover.Message) {
+	size := 0
+	for key := range outbox.unsent {
+		if size >= keyBatchBytes {
+			break
+		}
+		delete(outbox.unsent, key)
+		entry := s.idempotency.entries[key]
+		if entry == nil || !entry.hasRun() || entry.owner == outbox.link {
+			continue // dropped since the sync began, not run yet (the successor claims it), or a key of the successor
+		}
+		messages = append(messages, outbox.announce(entry)...)
+		size += keyMessageBytes + len(entry.result)
+	}
+	return messages
+}
--- a/internal/server/processes_test.go
+++ b/internal/server/processes_test.go
@@ -83,9 +83,9 @@
 	const results, size = 200, 4 << 10
 	fixture.retainResults(results, size)
 	fixture.successorJoined(fixture.link)
-	const batchBytes = 2 * keySyncBatchBytes // base64 needs a third more
-	perBatch := keySyncBatchBytes/size + 1
-	unsent := len(fixture.handover.syncs[fixture.link].unsent)
+	const batchBytes = 2 * keyBatchBytes // base64 needs a third more
+	perBatch := keyBatchBytes/size + 1
+	unsent := len(fixture.handover.outboxes[fixture.link].unsent)
 	require.GreaterOrEqual(t, unsent, results-(maxUnwrittenSync+2)*perBatch, "batches of up to %d bytes", batchBytes)
 
 	// A key that changes before it was sent is sent once, with its last state. One that is added is sent at once.
@@ -100,7 +100,7 @@
 		}
 	}()
 	for synced := false; !synced; {
-		fixture.clock.now += keySyncInterval
+		fixture.clock.now += outboxInterval
 		fixture.deadlines.Sweep(fixture.clock.now)
 		select {
 		case line := <-lines:
@@ -114,7 +114,7 @@
 	for key, count := range known {
 		require.Equal(t, 1, count, key)
 	}
-	require.Empty(t, fixture.handover.syncs)
+	require.True(t, fixture.handover.synchronized())
 }
 
 // A key whose run ends before the key was sent must reach the successor as completed, and only once.
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"falldeal/admission"
+	"falldeal/internal/deadline"
 )
 
 // Attempt is one attempt of a request, as read by a front.
@@ -71,7 +72,7 @@
 
 const (
 	requestQueued   requestState = iota // waits for the controller's decision, or for the result of another attempt
-	requestClaiming                     // waits for the predecessor's answer to the claim on its key
+	requestClaiming                     // waits until its key was granted, or it is known who may run it
 	requestRunning                      // was sent to the agent to be run
 )
 
@@ -101,6 +102,8 @@
 	answered  bool          // the request has its answer, or no client waits for one; its run may continue
 	startedAt time.Duration // start of its run, or of its wait for the run of another attempt
 
+	claimDeadline *deadline.Entry // while it is requestClaiming
+
 	callBody      []byte        // body of the call that its run waits for
 	callOffset    int64         // offset of the agent's notification that requested that call
 	callStartedAt time.Duration // start of the last call to the store
--- a/internal/server/respond.go
+++ b/internal/server/respond.go
@@ -175,6 +175,7 @@
 
 // removeRequest removes a request to which nothing more can happen.
 func (s *Server) removeRequest(request *activeRequest) {
+	s.endClaim(request)
 	s.requests.remove(request)
 	if entry := s.idempotency.release(request); entry != nil {
 		s.expireAfterWindow(entry)
@@ -185,10 +186,7 @@
 // the entry's window would be invalid because of its age. The controller's key table is not involved, because it only
 // accounts for memory.
 func (s *Server) expireAfterWindow(entry *idempotencyEntry) {
-	windowEnd := entry.windowEnd
-	s.deadlines.Add(s.clock.fromUnix(windowEnd)+s.config.maxArrivalAge()+windowSlack, func() {
-		if entry.windowEnd == windowEnd {
-			s.idempotency.drop(entry)
-		}
-	})
+	s.deadlines.Cancel(entry.expiry)
+	expiresAt := s.clock.fromUnix(entry.windowEnd) + s.config.maxArrivalAge() + windowSlack
+	entry.expiry = s.deadlines.Add(expiresAt, func() { s.idempotency.drop(entry) })
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -75,7 +75,8 @@
 	for _, name := range cfg.Classes {
 		server.stats.Class(name)
 	}
-	server.idempotency.peers = &server.handover
+	server.idempotency.observer = server
+	server.idempotency.deadlines = server.deadlines
 	server.clock.advance()
 	server.createLinks(cfg)
 	return server
--- a/internal/server/tables.go
+++ b/internal/server/tables.go
@@ -11,15 +11,16 @@
 		CompletedIDs: s.completed.size(),
 		Deadlines:    s.deadlines.Len(),
 		InboxEvents:  s.inbox.waiting(),
-		Claims:       len(s.handover.claims),
+		Claims:       s.handover.claims.size(),
 	}
 	if s.admission.started() {
 		sizes := admission.TableSizesOf(s.admission.controller)
 		tables.ControllerDeadlines = sizes.Deadlines
 		tables.QueueEntries = sizes.QueueEntries
 	}
-	for _, link := range s.handover.links() {
-		tables.PeerMessages += link.Unwritten()
+	for _, outbox := range s.handover.outboxes {
+		tables.PeerMessages += outbox.link.Unwritten()
+		tables.PeerKeys += len(outbox.changed) + len(outbox.unsent)
 	}
 	return tables
 }
--- a/internal/stats/metrics_test.go
+++ b/internal/stats/metrics_test.go
@@ -8,7 +8,7 @@
 
 // testTables has a different size for each table.
 var testTables = Tables{CompletedIDs: 1, Deadlines: 2, ControllerDeadlines: 3, QueueEntries: 4, InboxEvents: 5, Claims: 6,
-	PeerMessages: 7}
+	PeerMessages: 7, PeerKeys: 8}
 
 // The operators' collector looks for these names. The name of a class may contain separators, which must not split a metric
 // name or a line.
@@ -34,6 +34,7 @@
 app.tables.inbox:5|g
 app.tables.claims:6|g
 app.tables.peer_messages:7|g
+app.tables.peer_keys:8|g
 app.reconfig_ok:2|c
 app.reconfig_failed:1|c
 `, string(Metrics{Counters: &counters, InFlight: 14, Tables: testTables}.Append(nil)))
--- a/internal/stats/tables.go
+++ b/internal/stats/tables.go
@@ -10,6 +10,7 @@
 	InboxEvents         int // events that wait for the event loop
 	Claims              int // idempotency keys whose claim the predecessor process has not answered
 	PeerMessages        int // messages to other processes of the image server that are not written yet
+	PeerKeys            int // idempotency keys of which other processes are still to be told
 }
 
 // tableSize is the size of a table with the name under which it is logged and published.
@@ -28,5 +29,6 @@
 		{"inbox", t.InboxEvents},
 		{"claims", t.Claims},
 		{"peer_messages", t.PeerMessages},
+		{"peer_keys", t.PeerKeys},
 	}
 }
