The end of the link between two processes no longer counts as the end of the other one

With the link ended before the keys were synchronized, the successor said yes and served without the keys of its predecessor. SIGTERM to a predecessor without its link drained the image server, though its successor served. Cause: whatever ended the link was taken for the end of the process. Each then ran unknown keys without asking; the locks of package sharelock, which tell that the other lives, were looked at for the limits only. Fix (rule: package keyauthority): - A predecessor says with its last message that it runs nothing more; only then, or once it has exited, does the successor run keys unasked. Known keys are answered as before. - The predecessor goes on deciding, as its successor runs nothing unasked. An older successor does; to one of those it answers the same way, and fails what it doesn't know. - A link that ends before the keys are known is joined again, and this process serves only then. If the predecessor has exited instead, its keys fail for the longest window. - SIGTERM replaces, and does not drain, while a successor lives. A replaced process does not end before its keys are known. Wire: claims of this version say awaits_exit, the last message is synced with ended. Older versions ignore both. New counter keys_undecided, and a warning, tell that requests fail for it.

--- a/internal/handover/codec.go
+++ b/internal/handover/codec.go
@@ -31,6 +31,10 @@
 	at      time.Duration // "at": nanoseconds on the Unix clock
 	ok      bool          // "ok"
 	body    []byte        // "body": result of a run, in base64
+
+	// Fields that older versions neither write nor read. They are written only if they are true.
+	awaitsExit bool // "awaits_exit"
+	ended      bool // "ended"
 }
 
 func (m KeyKnown) line() line {
@@ -44,13 +48,15 @@
 func (m KeyReleased) line() line { return line{command: commandReleased, key: m.IdempotencyKey} }
 
 func (m KeyClaim) line() line {
-	return line{command: commandClaim, key: m.IdempotencyKey, digest: m.Digest, at: m.ArrivedAt}
+	return line{command: commandClaim, key: m.IdempotencyKey, digest: m.Digest, at: m.ArrivedAt, awaitsExit: m.AwaitsExit}
 }
 
 func (m KeyGranted) line() line { return line{command: commandGranted, key: m.IdempotencyKey} }
 
 func (KeysSynced) line() line { return line{command: commandSynced} }
 
+func (RunsEnded) line() line { return line{command: commandSynced, ended: true} }
+
 // message converts a line to a Message. It returns an error for an unknown command.
 func (l *line) message() (Message, error) {
 	switch l.command {
@@ -61,10 +67,13 @@
 	case commandReleased:
 		return KeyReleased{IdempotencyKey: l.key}, nil
 	case commandClaim:
-		return KeyClaim{IdempotencyKey: l.key, Digest: l.digest, ArrivedAt: l.at}, nil
+		return KeyClaim{IdempotencyKey: l.key, Digest: l.digest, ArrivedAt: l.at, AwaitsExit: l.awaitsExit}, nil
 	case commandGranted:
 		return KeyGranted{IdempotencyKey: l.key}, nil
 	case commandSynced:
+		if l.ended {
+			return RunsEnded{}, nil
+		}
 		return KeysSynced{}, nil
 	}
 	return nil, fmt.Errorf("unknown command %.40q", string(l.command))
@@ -84,6 +93,12 @@
 	b = append(b, `","ok":`...)
 	b = strconv.AppendBool(b, fields.ok)
 	b = jsonlines.AppendBase64(b, "body", fields.body)
+	if fields.awaitsExit {
+		b = append(b, `,"awaits_exit":true`...)
+	}
+	if fields.ended {
+		b = append(b, `,"ended":true`...)
+	}
 	return append(b, "}\n"...)
 }
 
@@ -91,7 +106,11 @@
 
 // decodeMessage decodes the JSON object of a line.
 func decodeMessage(object *fastjson.Value) (Message, error) {
-	fields := line{command: command(jsonlines.Text(object, "cmd"))}
+	fields := line{
+		command:    command(jsonlines.Text(object, "cmd")),
+		awaitsExit: object.GetBool("awaits_exit"),
+		ended:      object.GetBool("ended"),
+	}
 	if _, err := fields.message(); err != nil {
 		return nil, err // unknown command: the meaning of its other fields is not known
 	}
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -32,6 +32,9 @@
 	{"claim, negative time", KeyClaim{IdempotencyKey: "ab12", Digest: 7, ArrivedAt: -1}},
 	{"grant", KeyGranted{IdempotencyKey: "ab12"}},
 	{"synced", KeysSynced{}},
+	{"claim of a process that awaits the exit of its predecessor",
+		KeyClaim{IdempotencyKey: "ab12", Digest: 7, ArrivedAt: 1, AwaitsExit: true}},
+	{"end of the runs", RunsEnded{}},
 }
 
 // The lines that a process writes must not change: the process at the other end may run another version.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -13,8 +13,10 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// acceptRetryDelay is the pause after a failed accept.
-const acceptRetryDelay = 50 * time.Millisecond
+const (
+	acceptRetryDelay = 50 * time.Millisecond // pause after a failed accept
+	rejoinDelay      = 50 * time.Millisecond // pause before the predecessor is looked for again
+)
 
 // Topics of log lines. Each message has its own topic, so that the limiter does not suppress one message because of another.
 const (
@@ -33,7 +35,10 @@
 	OnPredecessor func(*Link) // the predecessor has connected; nil if there is none
 	OnSuccessor   func(*Link) // a successor has connected
 	OnMessage     func(*Link, Message)
-	OnEnd         func(*Link) // no more messages will come from that process
+	// OnEnd is called when a link has ended: no more messages will come on it, although the other process may live on. For
+	// the link to the predecessor it may return true, as long as the channel serving is open: Run then looks for the
+	// predecessor again, and calls OnPredecessor once more.
+	OnEnd func(*Link) (rejoin bool)
 }
 
 // Run connects to the predecessor that listens at path, if there is one, and accepts successors at path: at once if there
@@ -41,40 +46,72 @@
 // returns after ctx has ended and all messages are written.
 func Run(ctx context.Context, path string, serving <-chan struct{}, loop Loop, log *logging.Limiter) error {
 	group, ctx := errgroup.WithContext(ctx)
-	found := join(path) //nolint:contextcheck // join says why its dial must not end with ctx
+	replaced := make(chan net.Listener, 1)        // the listener, if this process has replaced that at path before it serves
+	found := joinPredecessor(path, replaced, log) //nolint:contextcheck // join says why its dial must not end with ctx
+	group.Go(func() error {
+		servePredecessor(ctx, path, found, replaced, loop, log)
+		return nil
+	})
+	group.Go(func() error {
+		if listener := awaitListener(ctx, path, replaced, serving, log); listener != nil {
+			acceptSuccessors(ctx, group, listener, loop, log)
+		}
+		return nil
+	})
+	return group.Wait() //nolint:wrapcheck // its functions return no error
+}
+
+// joinPredecessor connects to the predecessor. If there is none, it returns nil, and sends the listener that replaces it at
+// path, if that could be opened, to replaced.
+func joinPredecessor(path string, replaced chan<- net.Listener, log *logging.Limiter) (predecessor net.Conn) {
+	found := join(path)
 	if found.dialErr != nil {
 		log.Warn(topicJoin, "predecessor process not reachable, its idempotency keys are unknown", found.dialErr)
 	}
 	if found.listenErr != nil {
 		log.Warn(topicListen, messageNotListening, found.listenErr)
 	}
-	if found.predecessor != nil {
-		group.Go(func() error {
-			serveConnection(ctx, found.predecessor, loop, loop.OnPredecessor, log)
-			return nil
-		})
-	} else {
-		loop.Post(func() { loop.OnPredecessor(nil) })
+	if found.listener != nil {
+		replaced <- found.listener
 	}
-	listener := found.listener
-	group.Go(func() error {
-		if listener == nil {
-			listener = listenOnceServing(ctx, path, serving, log)
+	return found.predecessor
+}
+
+// servePredecessor serves the connection to the predecessor. If OnEnd says so, it then connects to it again. Once there is no
+// predecessor, it calls OnPredecessor with nil, after which this process may serve.
+func servePredecessor(
+	ctx context.Context, path string, predecessor net.Conn, replaced chan<- net.Listener, loop Loop, log *logging.Limiter,
+) {
+	for predecessor != nil {
+		if !serveConnection(ctx, predecessor, loop, loop.OnPredecessor, log) {
+			return
 		}
-		if listener != nil {
-			acceptSuccessors(ctx, group, listener, loop, log)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rejoinDelay):
 		}
-		return nil
-	})
-	return group.Wait() //nolint:wrapcheck // its functions return no error
+		predecessor = joinPredecessor(path, replaced, log) //nolint:contextcheck // join says why its dial must not end with ctx
+	}
+	loop.Post(func() { loop.OnPredecessor(nil) })
 }
 
-// listenOnceServing listens at path once the channel serving is closed. It returns nil if ctx ends first or if listening fails.
-func listenOnceServing(ctx context.Context, path string, serving <-chan struct{}, log *logging.Limiter) net.Listener {
+// awaitListener returns the listener at path: that of replaced, or one that it opens once the channel serving is closed. It
+// returns nil if ctx ends first or if listening fails.
+func awaitListener(
+	ctx context.Context, path string, replaced <-chan net.Listener, serving <-chan struct{}, log *logging.Limiter,
+) net.Listener {
 	select {
-	case <-serving:
+	case listener := <-replaced:
+		return listener
 	case <-ctx.Done():
 		return nil
+	case <-serving:
+	}
+	select {
+	case listener := <-replaced: // it was sent before serving was closed
+		return listener
+	default:
 	}
 	listener, err := listen(path)
 	if err != nil {
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,19 +16,31 @@
 	"github.com/stretchr/testify/require"
 )
 
-const testTimeout = 30 * time.Second
+const (
+	testTimeout  = 30 * time.Second
+	maxUnhandled = maxUnhandledBytes / messageBytes // messages without a result
+)
 
 // process runs one side of a handover, and records what its event loop is given.
 type process struct {
 	*testing.T
-	events   chan any   // names of joins, messages and ends, in order
-	joined   chan *Link // links that were passed to OnPredecessor and OnSuccessor
-	loopLock sync.Mutex // held by a test to block the event loop
-	stop     func()     // cancels Run, and waits until it has returned
+	events   chan any    // names of joins, messages and ends, in order
+	joined   chan *Link  // links that were passed to OnPredecessor and OnSuccessor
+	loopLock sync.Mutex  // held by a test to block the event loop
+	stop     func()      // cancels Run, and waits until it has returned
+	rejoins  atomic.Bool // result of OnEnd
 }
 
 // startProcess starts a process that may listen at once, as serving is closed.
 func startProcess(t *testing.T, path string) *process {
+	t.Helper()
+	serving := make(chan struct{})
+	close(serving)
+	return startProcessServing(t, path, serving)
+}
+
+// startProcessServing starts a process that may listen once serving is closed.
+func startProcessServing(t *testing.T, path string, serving <-chan struct{}) *process {
 	t.Helper()
 	started := &process{T: t, events: make(chan any, 100), joined: make(chan *Link, 10)}
 	joined := func(name string) func(*Link) {
@@ -39,9 +52,11 @@
 	posted := make(chan func())
 	ctx, cancel := context.WithCancel(context.Background())
 	loop := Loop{Post: func(f func()) { posted <- f }, OnPredecessor: joined("predecessor"), OnSuccessor: joined("successor"),
-		OnMessage: func(_ *Link, m Message) { started.events <- m }, OnEnd: func(*Link) { started.events <- "ended" }}
-	serving, runDone := make(chan struct{}), make(chan error, 1)
-	close(serving)
+		OnMessage: func(_ *Link, m Message) { started.events <- m }, OnEnd: func(*Link) bool {
+			started.events <- "ended"
+			return started.rejoins.Load()
+		}}
+	runDone := make(chan error, 1)
 	log, _ := test.NewNullLogger()
 	go func() { runDone <- Run(ctx, path, serving, loop, logging.NewLimiter(log)) }()
 	go func() {
@@ -242,7 +257,7 @@
 		Post:          func(f func()) { posted <- f },
 		OnPredecessor: func(*Link) {},
 		OnMessage:     func(*Link, Message) { received++ },
-		OnEnd:         func(*Link) {},
+		OnEnd:         func(*Link) bool { return false },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	log, _ := test.NewNullLogger()
@@ -270,3 +285,37 @@
 	require.NoError(t, <-runDone)
 	first.stop()
 }
+
+// A link that ends before this process serves must be opened again while the predecessor lives. Once that has ended, this process
+// must take its place, and be found by the next one.
+func TestPredecessorIsJoinedAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	first := startProcess(t, path)
+	first.expect("predecessor")
+	require.Nil(t, <-first.joined)
+	waitForListener(t, path)
+	second := startProcessServing(t, path, make(chan struct{}))
+	second.rejoins.Store(true)
+	for range 3 {
+		second.expect("predecessor")
+		require.NotNil(t, <-second.joined)
+		first.expect("successor")
+		(<-first.joined).Abort()
+		first.expect("ended")
+		second.expect("ended")
+	}
+	second.expect("predecessor")
+	require.NotNil(t, <-second.joined)
+	first.expect("successor")
+	first.stop()
+	second.expect("ended")
+	second.expect("predecessor")
+	require.Nil(t, <-second.joined)
+
+	third := startProcess(t, path)
+	third.expect("predecessor")
+	require.NotNil(t, <-third.joined)
+	second.expect("successor")
+	third.stop()
+	second.stop()
+}
--- a/internal/server/admit.go
+++ b/internal/server/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"falldeal/admission"
+	"falldeal/internal/keyauthority"
 )
 
 // Stage 2, admit: valid requests are submitted to the controller.
@@ -57,11 +58,14 @@
 	}
 	s.requests.add(request)
 	s.connections.openRequest(s.connections.get(conn), callNumber, request)
-	if s.mustClaim(request) {
+	switch s.decideKey(request) {
+	case keyauthority.Run:
+		s.submitToController(request)
+	case keyauthority.Claim, keyauthority.Hold:
 		s.claimKey(request)
-		return
+	case keyauthority.Fail:
+		s.failUndecided(request)
 	}
-	s.submitToController(request)
 }
 
 // normalizeTimes checks the arrival time and the timeout of an attempt. A missing timeout is set to the deadline of the
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -122,6 +122,7 @@
 			IdempotencyKey: request.attempt.IdempotencyKey,
 			Digest:         bodyDigest(&request.attempt),
 			ArrivedAt:      request.attempt.ArrivedAt,
+			AwaitsExit:     true,
 		})
 	}
 }
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -87,7 +87,7 @@
 	if s.drain.started() {
 		return
 	}
-	replaced := s.handover.successor != nil
+	replaced := s.handover.authority.SuccessorLives()
 	s.log.WithField("replaced", replaced).Info("drain started")
 	if replaced {
 		s.announcer.Stop()
@@ -156,6 +156,7 @@
 			s.answer(request, Answer{Kind: s.finalAnswer(request)})
 		}
 	}
+	s.finishKeys()
 	s.logCounters()
 	for conn := range s.connections.states {
 		conn.Close()
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -174,7 +174,7 @@
 	}},
 	{"SIGTERM", func(_ *testing.T, server *Server) { server.Drain() }},
 	{"SIGTERM with a successor", func(_ *testing.T, server *Server) {
-		server.handover.successor = &handover.Link{}
+		server.handover.authority.SuccessorJoined()
 		server.Drain()
 	}},
 	{"the predecessor connects, and sends its keys", func(_ *testing.T, server *Server) {
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -2,12 +2,15 @@
 
 import (
 	"falldeal/internal/handover"
+	"falldeal/internal/keyauthority"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Handover: while a successor takes the place of its predecessor, two processes form one image server. A request with an
 // idempotency key is run by one of them only: the predecessor knows by which, and the successor claims a key before it
 // runs a request with it (claims.go). Each process tells the other of its runs and their results, which answer attempts at
-// both (key_outbox.go).
+// both (key_outbox.go). Package keyauthority decides who may run a key after the link between them has ended.
 
 // maxUnwrittenAnswers is the number of unwritten messages to a process above which its claims are not answered. Only a process
 // of an older version, which does not limit its claims in flight, reaches it; the requests that wait for the claims then fail.
@@ -18,9 +21,12 @@
 	predecessor *handover.Link // nil if there is none
 	successor   *handover.Link // nil if there is none
 	synced      bool           // all keys of the predecessor are known here, or there is no predecessor
+	rejoining   bool           // the link to the predecessor ended before its keys were known here
 
-	claims   claimTable
-	outboxes map[*handover.Link]*keyOutbox // what the other processes are still to be told
+	authority keyauthority.Authority
+	decision  keyauthority.Decision // of authority, when it was looked at last
+	claims    claimTable
+	outboxes  map[*handover.Link]*keyOutbox // what the other processes are still to be told
 }
 
 func newHandoverState() handoverState {
@@ -61,11 +67,16 @@
 func (s *Server) predecessorJoined(link *handover.Link) {
 	s.handover.predecessor = link
 	if link == nil {
+		if s.handover.rejoining {
+			s.handover.authority.PredecessorUnreachable()
+			s.checkProcesses()
+		}
 		s.markSynced()
 		return
 	}
 	s.log.Info("predecessor process connected")
 	s.handover.outboxes[link] = newKeyOutbox(link, false)
+	s.handover.authority.PredecessorJoined()
 	s.checkProcesses()
 }
 
@@ -73,6 +84,7 @@
 func (s *Server) successorJoined(link *handover.Link) {
 	s.log.Info("successor process connected")
 	s.handover.successor = link
+	s.handover.authority.SuccessorJoined()
 	if s.drain.started() {
 		s.announcer.Stop() // the successor reports under the same name, and must not be listed as draining
 	}
@@ -104,6 +116,8 @@
 		s.log.WithField("count", s.idempotency.countOwnedBy(link)).
 			Info("idempotency keys synchronized with predecessor")
 		s.markSynced()
+	case handover.RunsEnded:
+		s.handleRunsEnded(link)
 	case handover.KeyKnown:
 		s.handleKeyKnown(link, message)
 	case handover.KeyClaim:
@@ -133,8 +147,12 @@
 
 // handleKeyClaim grants the successor a key that is unknown here or whose window has ended. From then on, nothing is run
 // with that key here, unless the successor releases it. A claim does not contain the class of the request, so the entry
-// gets the longest window of all classes: a shorter one could end while the key must not be run again.
+// gets the longest window of all classes: a shorter one could end while the key must not be run again. A key that this
+// process may not run itself is not granted; the requests that wait for it then fail.
 func (s *Server) handleKeyClaim(link *handover.Link, claim handover.KeyClaim) {
+	if claim.AwaitsExit {
+		s.handover.authority.SuccessorAsks()
+	}
 	outbox := s.handover.outboxes[link]
 	if outbox == nil || link.Unwritten() > maxUnwrittenAnswers {
 		return
@@ -144,6 +162,9 @@
 		outbox.answer(entry)
 		return
 	}
+	if s.handover.authority.Decide() > keyauthority.Claim {
+		return
+	}
 	s.adoptKey(link, handover.KeyKnown{
 		IdempotencyKey: claim.IdempotencyKey,
 		Digest:         claim.Digest,
@@ -163,6 +184,17 @@
 	}
 }
 
+// handleRunsEnded handles the announcement of the predecessor that it runs nothing more.
+func (s *Server) handleRunsEnded(link *handover.Link) {
+	if link != s.handover.predecessor {
+		return
+	}
+	s.handover.authority.PredecessorFinished()
+	s.failPeerRuns(link)
+	s.markSynced()
+	s.applyAuthority()
+}
+
 // adoptKey adds a key that another process owns.
 func (s *Server) adoptKey(link *handover.Link, known handover.KeyKnown) {
 	entry := s.idempotency.adopt(link, known, s.requests.nextID())
@@ -186,31 +218,89 @@
 	}
 }
 
-// peerEnded handles the end of the other process.
-func (s *Server) peerEnded(link *handover.Link) {
+// peerEnded handles the end of a link, whether or not the other process lives on. It reports whether the predecessor must be
+// looked for again: without its keys this process can't serve.
+func (s *Server) peerEnded(link *handover.Link) (rejoin bool) {
 	delete(s.handover.outboxes, link)
 	switch link {
 	case s.handover.predecessor:
 		s.log.Info("predecessor process disconnected")
 		s.handover.predecessor = nil
+		rejoin = s.predecessorLinkEnded(link)
 	case s.handover.successor:
 		s.log.Info("successor process disconnected")
 		s.handover.successor = nil
+		s.handover.authority.SuccessorLinkEnded(s.clock.now)
 	}
-	s.checkProcesses()
 	s.failPeerRuns(link)
-	if s.handover.predecessor == nil {
-		s.markSynced()
+	s.checkProcesses()
+	return rejoin
+}
+
+// predecessorLinkEnded handles the end of the link to the predecessor, and reports whether that must be looked for again.
+func (s *Server) predecessorLinkEnded(link *handover.Link) (rejoin bool) {
+	finished := !s.handover.authority.PredecessorLives()
+	s.handover.authority.PredecessorLinkEnded(s.clock.now)
+	if finished || s.listeners.opened {
+		return false
+	}
+	s.handover.synced = false
+	s.handover.rejoining = true
+	s.idempotency.dropOwnedBy(link) // they will be sent again on another link
+	return true
+}
+
+// applyAuthority resumes, claims or fails the requests that wait for their keys, as package keyauthority decides by now.
+func (s *Server) applyAuthority() {
+	decision := s.handover.authority.Decide()
+	s.logAuthority(decision)
+	switch decision {
+	case keyauthority.Run:
 		for _, request := range s.handover.claims.takeAll() {
 			s.endClaim(request)
 			s.submitToController(request)
 		}
+	case keyauthority.Fail:
+		for _, request := range s.handover.claims.takeAll() {
+			s.failUndecided(request)
+		}
+	case keyauthority.Claim:
+		s.sendClaims()
+	case keyauthority.Hold:
+	}
+}
+
+// logAuthority logs when requests with unknown keys begin to fail, and when that ends.
+func (s *Server) logAuthority(decision keyauthority.Decision) {
+	before := s.handover.decision
+	s.handover.decision = decision
+	fields := logrus.Fields{"processes": s.processes.alive, "keys_undecided": s.stats.KeysUndecided}
+	switch {
+	case decision == keyauthority.Fail && before != decision:
+		s.log.WithFields(fields).Warn("link to a process of this image server lost, requests with unknown idempotency keys fail")
+	case before == keyauthority.Fail && before != decision:
+		s.log.WithFields(fields).Info("requests with unknown idempotency keys are run again")
+	}
+}
+
+// observeAuthority looks at the processes for package keyauthority, and applies its decision.
+func (s *Server) observeAuthority() {
+	unlinked := s.processes.alive - 1 - len(s.handover.links())
+	s.handover.authority.Observe(s.clock.now, unlinked > 0, s.config.longestIdempotencyWindow()+windowSlack)
+	s.applyAuthority()
+}
+
+// decideKey decides whether a request may be submitted to the controller: always if its class has no keys or its key is known.
+func (s *Server) decideKey(request *activeRequest) keyauthority.Decision {
+	if !s.config.hasKeys(request.class) || s.idempotency.lookup(request) != nil {
+		return keyauthority.Run
 	}
+	return s.handover.authority.Decide()
 }
 
-// mustClaim reports whether the predecessor must be asked before a request may run.
-func (s *Server) mustClaim(request *activeRequest) bool {
-	return s.config.hasKeys(request.class) &&
-		s.handover.predecessor != nil &&
-		s.idempotency.lookup(request) == nil
+// failUndecided fails a request whose key may have been run by a process that can't be asked.
+func (s *Server) failUndecided(request *activeRequest) {
+	s.stats.KeysUndecided++
+	request.trace.reason = reasonKeyUndecided
+	s.failClaim(request)
 }
--- a/internal/server/idempotency.go
+++ b/internal/server/idempotency.go
@@ -98,6 +98,15 @@
 	return count
 }
 
+// dropOwnedBy removes the entries that the given process owns.
+func (t *idempotencyTable) dropOwnedBy(owner *handover.Link) {
+	for _, entry := range t.entries {
+		if entry.owner == owner {
+			t.drop(entry)
+		}
+	}
+}
+
 func (t *idempotencyTable) size() int { return len(t.entries) }
 
 // register adds a request. It returns the attempt that the request retries, or 0 if the request is a first attempt.
--- a/internal/server/key_outbox.go
+++ b/internal/server/key_outbox.go
@@ -258,3 +258,19 @@
 	}
 	return messages
 }
+
+// finishKeys sends all that the outboxes hold, and then that this process runs nothing more.
+func (s *Server) finishKeys() {
+	for _, outbox := range s.handover.outboxes {
+		s.addAllKeys(outbox)
+		for len(outbox.unsent) > 0 {
+			outbox.link.Publish(s.takeUnsent(outbox)...)
+		}
+		for len(outbox.changed) > 0 {
+			outbox.link.Publish(s.takeChanges(outbox)...)
+		}
+		if outbox.successor {
+			outbox.link.Publish(handover.RunsEnded{})
+		}
+	}
+}
--- a/internal/server/processes.go
+++ b/internal/server/processes.go
@@ -58,7 +58,7 @@
 	s.deadlines.Cancel(s.processes.timer)
 	s.updateProcesses()
 	interval := aloneCheckInterval
-	if s.processes.alive > 1 || !s.callShare.settled {
+	if s.processes.alive > 1 || !s.callShare.settled || s.handover.authority.Pending() {
 		interval = sharedCheckInterval
 	}
 	s.processes.timer = s.deadlines.Add(s.clock.now+interval, s.watchProcesses)
@@ -66,7 +66,7 @@
 
 // checkProcesses updates the processes of this image server now, after an event that may have changed them.
 func (s *Server) checkProcesses() {
-	if s.processes.locks != nil {
+	if s.processes.locks != nil || s.handover.authority.Pending() {
 		s.watchProcesses()
 		return
 	}
@@ -80,6 +80,7 @@
 		s.processCountChanged(seen.Alive)
 	}
 	s.updateCallShare(seen)
+	s.observeAuthority()
 }
 
 // processCountChanged divides the limits by a new number of processes.
--- a/internal/server/trace.go
+++ b/internal/server/trace.go
@@ -44,6 +44,8 @@
 	// reasonReplyUnacknowledged: failed because the link to the agent broke before the agent was known to have read the reply
 	// to the run's call, and the run has not continued since.
 	reasonReplyUnacknowledged traceReason = "reply_unacknowledged"
+	// reasonKeyUndecided: failed because a process of this image server to which there is no link may have run the key.
+	reasonKeyUndecided traceReason = "key_undecided"
 	// reasonShutdown: rejected or failed because the loop ended before there was an answer.
 	reasonShutdown traceReason = "shutdown"
 )
--- a/internal/stats/counters.go
+++ b/internal/stats/counters.go
@@ -60,6 +60,7 @@
 	// Claims on idempotency keys that were sent to the predecessor process.
 	Claims         uint64
 	ClaimsTimedOut uint64 // claims without a reply in time; logged as claims_late
+	KeysUndecided  uint64 // requests that failed because a process without a link may have run their keys
 
 	LoopIterations uint64 // of the event loop; logged as turns
 }
@@ -165,6 +166,7 @@
 	return logrus.Fields{
 		"claims":         c.Claims,
 		"claims_late":    c.ClaimsTimedOut,
+		"keys_undecided": c.KeysUndecided,
 		"reloads":        c.Reloads,
 		"reloads_failed": c.ReloadsFailed,
 		"turns":          c.LoopIterations,
--- a/internal/stats/golden_test.go
+++ b/internal/stats/golden_test.go
@@ -23,7 +23,7 @@
 		ResultsReused: 18, RunsFailed: 19, RunsInterrupted: 20, RunsNotStarted: 21, CommandsRejected: 22,
 		CallsOK: 23, CallsRejected: 24, CallsFailed: 25, CallsTimedOut: 26, CallsUnreachable: 27, CallsAborted: 28,
 		AgentConnections: 29, StoreConnections: 30, Reloads: 31, ReloadsFailed: 32, Claims: 33, ClaimsTimedOut: 34,
-		LoopIterations: 35, RepliesUnacknowledged: 40,
+		LoopIterations: 35, RepliesUnacknowledged: 40, KeysUndecided: 44,
 	}
 	var got bytes.Buffer
 	log := logrus.New()
--- a/internal/stats/tables.go
+++ b/internal/stats/tables.go
@@ -8,7 +8,7 @@
 	ControllerDeadlines int // deadlines of the admission controller, including obsolete ones
 	QueueEntries        int // entries of the run queue of the admission controller, including obsolete ones
 	InboxEvents         int // events that wait for the event loop
-	Claims              int // idempotency keys whose claim the predecessor process has not answered
+	Claims              int // idempotency keys that requests wait for, as another process may have run them
 	PeerMessages        int // messages to other processes of the image server that are not written yet
 	PeerKeys            int // idempotency keys of which other processes are still to be told
 }
