Keys of which another process was told are recorded only until their runs end

What a process was told of each key was kept for the whole window. After the end of a run nothing follows, so the record ends with it, which bounds it by the requests in hand. Answers to claims wait for 1,024 unwritten messages, above what a process of this version can have open together with 256 changes. One function takes keys from either set; lint.

--- a/internal/keyauthority/authority_test.go
+++ b/internal/keyauthority/authority_test.go
@@ -181,32 +181,32 @@
 // must run every key.
 func TestNoKeyRunsTwiceInAnyOrderOfEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{T: t, linked: true, ran: map[int]time.Duration{}}
-		m.predecessor = modelProcess{alive: true, known: map[int]time.Duration{}}
-		m.successor = modelProcess{alive: true, known: map[int]time.Duration{}}
-		m.predecessor.SuccessorJoined()
-		m.predecessor.SuccessorAsks()
-		m.successor.PredecessorJoined()
+		replacement := &model{T: t, linked: true, ran: map[int]time.Duration{}}
+		replacement.predecessor = modelProcess{alive: true, known: map[int]time.Duration{}}
+		replacement.successor = modelProcess{alive: true, known: map[int]time.Duration{}}
+		replacement.predecessor.SuccessorJoined()
+		replacement.predecessor.SuccessorAsks()
+		replacement.successor.PredecessorJoined()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			key := rapid.IntRange(0, 3).Draw(t, "key")
 			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0:
-				m.endLink()
+				replacement.endLink()
 			case 1:
-				m.exit(rapid.Bool().Draw(t, "announced"))
+				replacement.exit(rapid.Bool().Draw(t, "announced"))
 			case 2, 3, 4:
-				m.requestAtPredecessor(key)
+				replacement.requestAtPredecessor(key)
 			case 5, 6, 7:
-				m.requestAtSuccessor(key)
+				replacement.requestAtSuccessor(key)
 			default:
-				m.advance(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+				replacement.advance(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
 			}
 		}
-		m.advance(2 * exitTime)
-		m.exit(false)
-		m.advance(2*testWindow + 2*exitTime)
-		require.Equal(t, Run, m.successor.Decide())
-		m.requestAtSuccessor(0)
-		require.Greater(t, m.ran[0], m.now)
+		replacement.advance(2 * exitTime)
+		replacement.exit(false)
+		replacement.advance(2*testWindow + 2*exitTime)
+		require.Equal(t, Run, replacement.successor.Decide())
+		replacement.requestAtSuccessor(0)
+		require.Greater(t, replacement.ran[0], replacement.now)
 	})
 }
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -14,7 +14,7 @@
 
 // maxUnwrittenAnswers is the number of unwritten messages to a process above which its claims are not answered. Only a process
 // of an older version, which does not limit its claims in flight, reaches it; the requests that wait for the claims then fail.
-const maxUnwrittenAnswers = 2 * maxClaimsInFlight
+const maxUnwrittenAnswers = 4 * maxClaimsInFlight
 
 // handoverState is the loop's view of the other processes of this image server. The loop owns it.
 type handoverState struct {
--- a/internal/server/key_outbox.go
+++ b/internal/server/key_outbox.go
@@ -26,15 +26,12 @@
 type toldState uint8
 
 const (
-	toldNothing   toldState = iota
-	toldKnown               // the key is in use here, and the other process waits for its outcome
-	toldRunning             // the key was run, with the window of that run
-	toldCompleted           // the run has ended, with its result
+	toldNothing toldState = iota // nothing, or that its run has ended, after which nothing follows
+	toldKnown                    // the key is in use here, and the other process waits for its outcome
+	toldRunning                  // the key was run, with the window of that run
 )
 
-func (t toldState) String() string {
-	return [...]string{"nothing", "known", "running", "completed"}[t]
-}
+func (t toldState) String() string { return [...]string{"nothing", "known", "running"}[t] }
 
 // keyOutbox tells another process of the keys of this one, from their current state: a key that changes several times before
 // there is room for a message is told of once. So what waits for a process that reads slowly is bounded by the number of keys,
@@ -44,13 +41,13 @@
 // the answer. A request that is rejected thus causes a message only if the other process has asked for its key.
 type keyOutbox struct {
 	link      *handover.Link
-	successor bool                // link leads to a successor, which must first be told of all keys
-	started   bool                // the first keys may be sent
-	unsent    map[string]struct{} // keys that were known when the successor joined, and are still to be sent
-	synced    bool                // all of those were sent
-	changed   map[string]struct{} // keys with changes that wait for room
-	told      map[string]toldState
-	retry     bool // a deadline continues to send
+	successor bool                 // link leads to a successor, which must first be told of all keys
+	started   bool                 // the first keys may be sent
+	unsent    map[string]struct{}  // keys that were known when the successor joined, and are still to be sent
+	synced    bool                 // all of those were sent
+	changed   map[string]struct{}  // keys with changes that wait for room
+	told      map[string]toldState // without toldNothing
+	retry     bool                 // a deadline continues to send
 }
 
 func newKeyOutbox(link *handover.Link, successor bool) *keyOutbox {
@@ -84,7 +81,7 @@
 	messages := []handover.Message{entry.known()}
 	switch entry.state {
 	case entryCompleted:
-		o.told[entry.key] = toldCompleted
+		delete(o.told, entry.key)
 		messages = append(messages, o.completion(entry))
 	case entryRunning:
 		o.told[entry.key] = toldRunning
@@ -110,10 +107,10 @@
 	case entry == nil && told != toldNothing:
 		delete(o.told, key)
 		return []handover.Message{handover.KeyReleased{IdempotencyKey: key}}
-	case entry == nil, entry.owner != nil, !entry.hasRun(), told == toldCompleted:
+	case entry == nil, entry.owner != nil, !entry.hasRun():
 		return nil // nothing to tell, or the outcome follows
 	case entry.state == entryCompleted && told == toldRunning:
-		o.told[key] = toldCompleted
+		delete(o.told, key)
 		return []handover.Message{o.completion(entry)}
 	case entry.state == entryRunning && told == toldRunning:
 		return nil
@@ -130,14 +127,19 @@
 // keyChanged tells the other processes of a change of a key of this process, now or when there is room for it.
 func (s *Server) keyChanged(key string) {
 	for _, outbox := range s.handover.outboxes {
-		switch {
-		case outbox.covers(key):
-		case outbox.concerns(key, s.idempotency.entries[key]):
-			outbox.changed[key] = struct{}{}
-			s.sendKeys(outbox)
-		default:
-			delete(outbox.changed, key)
-		}
+		s.sendChange(outbox, key)
+	}
+}
+
+// sendChange tells one process of a change of a key, now or when there is room for it.
+func (s *Server) sendChange(outbox *keyOutbox, key string) {
+	switch {
+	case outbox.covers(key):
+	case outbox.concerns(key, s.idempotency.entries[key]):
+		outbox.changed[key] = struct{}{}
+		s.sendKeys(outbox)
+	default:
+		delete(outbox.changed, key)
 	}
 }
 
@@ -155,12 +157,13 @@
 // that is not retained here.
 func (s *Server) runCompleted(key string, result runResult) {
 	for _, outbox := range s.handover.outboxes {
-		if !outbox.covers(key) && outbox.told[key] == toldRunning && outbox.maySendResult() {
-			outbox.told[key] = toldCompleted
-			outbox.link.Publish(handover.RunCompleted{IdempotencyKey: key, OK: result.ok, Result: result.body})
+		if outbox.covers(key) || outbox.told[key] != toldRunning || !outbox.maySendResult() {
+			s.sendChange(outbox, key)
+			continue
 		}
+		delete(outbox.told, key)
+		outbox.link.Publish(handover.RunCompleted{IdempotencyKey: key, OK: result.ok, Result: result.body})
 	}
-	s.keyChanged(key)
 }
 
 // keyForgotten records that the window of a key of this process has ended. The other processes know its end.
@@ -222,39 +225,39 @@
 	})
 }
 
-// takeChanges takes changed keys from an outbox, and returns messages of about keyBatchBytes on them.
-func (s *Server) takeChanges(outbox *keyOutbox) (messages []handover.Message) {
-	size := 0
-	for key := range outbox.changed {
-		if size >= keyBatchBytes {
-			break
-		}
-		delete(outbox.changed, key)
-		entry := s.idempotency.entries[key]
-		messages = append(messages, outbox.changeMessages(key, entry)...)
-		size += keyMessageBytes
-		if entry != nil {
-			size += len(entry.result)
+// takeChanges takes changed keys from an outbox, and returns messages on them.
+func (s *Server) takeChanges(outbox *keyOutbox) []handover.Message {
+	return s.takeKeys(outbox.changed, outbox.changeMessages)
+}
+
+// takeUnsent takes keys that were known when the successor joined from an outbox, and returns messages on those that were
+// run. It leaves out keys of the successor, and those that were dropped since. The successor claims those that were not run.
+func (s *Server) takeUnsent(outbox *keyOutbox) []handover.Message {
+	return s.takeKeys(outbox.unsent, func(_ string, entry *idempotencyEntry) []handover.Message {
+		if entry == nil || !entry.hasRun() || entry.owner == outbox.link {
+			return nil
 		}
-	}
-	return messages
+		return outbox.announce(entry)
+	})
 }
 
-// takeUnsent takes keys that were known when the successor joined from an outbox, and returns messages of about
-// keyBatchBytes on those that were run.
-func (s *Server) takeUnsent(outbox *keyOutbox) (messages []handover.Message) {
+// takeKeys takes keys from a set, and returns messages of about keyBatchBytes on them.
+func (s *Server) takeKeys(
+	keys map[string]struct{}, messagesOn func(key string, entry *idempotencyEntry) []handover.Message,
+) (messages []handover.Message) {
 	size := 0
-	for key := range outbox.unsent {
+	for key := range keys {
 		if size >= keyBatchBytes {
 			break
 		}
-		delete(outbox.unsent, key)
+		delete(keys, key)
 		entry := s.idempotency.entries[key]
-		if entry == nil || !entry.hasRun() || entry.owner == outbox.link {
-			continue // dropped since the sync began, not run yet (the successor claims it), or a key of the successor
+		added := messagesOn(key, entry)
+		messages = append(messages, added...)
+		size += keyMessageBytes * len(added)
+		if entry != nil {
+			size += len(entry.result)
 		}
-		messages = append(messages, outbox.announce(entry)...)
-		size += keyMessageBytes + len(entry.result)
 	}
 	return messages
 }
--- a/internal/stats/counters.go
+++ b/internal/stats/counters.go
@@ -184,7 +184,7 @@
 		"now_call_units":  g.CallUnits,
 		"now_retained_kb": g.RetainedKB,
 	}
-	for _, table := range g.Tables.sizes() {
+	for _, table := range g.sizes() {
 		fields["now_"+table.name] = table.size
 	}
 	return fields
