--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -35,8 +35,8 @@
 	OnPredecessor func(*Link) // the predecessor has connected; nil if there is none
 	OnSuccessor   func(*Link) // a successor has connected
 	OnMessage     func(*Link, Message)
-	// OnEnd is called when a link has ended: no more messages will come on it, although the other process may live on. For
-	// the link to the predecessor it may return true, as long as the channel serving is open: Run then looks for the
+	// OnEnd is called when a link has ended: no more messages will come on it, although the other process may continue to run. For
+	// the link to the predecessor it may return true, while the channel serving is open: Run then looks for the
 	// predecessor again, and calls OnPredecessor once more.
 	OnEnd func(*Link) (rejoin bool)
 }
@@ -77,7 +77,7 @@
 	return found.predecessor
 }
 
-// servePredecessor serves the connection to the predecessor. If OnEnd says so, it then connects to it again. Once there is no
+// servePredecessor serves the connection to the predecessor. If OnEnd returns true, it then connects to it again. Once there is no
 // predecessor, it calls OnPredecessor with nil, after which this process may serve.
 func servePredecessor(
 	ctx context.Context, path string, predecessor net.Conn, replaced chan<- net.Listener, loop Loop, log *logging.Limiter,
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -286,7 +286,7 @@
 	first.stop()
 }
 
-// A link that ends before this process serves must be opened again while the predecessor lives. Once that has ended, this process
+// A link that ends before this process serves must be opened again while the predecessor runs. Once that has ended, this process
 // must take its place, and be found by the next one.
 func TestPredecessorIsJoinedAgain(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s")
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -35,7 +35,7 @@
 	IdempotencyKey string
 	Digest         uint64        // of the body of the attempt
 	ArrivedAt      time.Duration // arrival of the attempt; Unix time
-	// AwaitsExit says that the sender runs no key that it has not claimed until the predecessor has exited or sent RunsEnded,
+	// AwaitsExit is set if the sender runs no key that it has not claimed until the predecessor has exited or sent RunsEnded,
 	// even if their link ends. Older versions take the end of the link for the exit, and do not set it.
 	AwaitsExit bool
 }
@@ -49,6 +49,6 @@
 // KeysSynced tells the successor that the predecessor has sent all keys that it knew when the successor connected.
 type KeysSynced struct{}
 
-// RunsEnded tells the successor that the predecessor runs nothing more, and has sent all keys that it knows. It is the last
+// RunsEnded announces to the successor that the predecessor runs nothing more, and has sent all keys that it knows. It is the last
 // message on a link. Versions that do not know it read it as KeysSynced, which changes nothing for them.
 type RunsEnded struct{}
--- a/internal/keyauthority/authority.go
+++ b/internal/keyauthority/authority.go
@@ -1,35 +1,35 @@
 // Package keyauthority decides which process of an image server may run a request whose idempotency key that process does not
-// know. A key that it knows is decided by what is known of it.
+// know. A known key is decided by its entry.
 //
 // While a successor replaces its predecessor, both processes get requests of the same keys. The predecessor has the authority:
 // it runs unknown keys, and the successor claims a key at the predecessor before it runs anything with it. So the predecessor
-// knows every key that may run at the successor, and the successor is told of every key that runs at the predecessor.
+// knows every key that may run at the successor, and announces every key that it runs to the successor.
 //
-// The link between them can end while both live. The end of the link is therefore not the end of the process, and three things
+// The link between them can end while both processes run. The end of the link is therefore not the end of the process, and three things
 // are told apart:
 //
 //   - The predecessor has announced that it runs nothing more. Then the successor has the authority.
 //   - The predecessor has exited. The successor has read all that it sent, and has the authority as well. An exit follows the
 //     end of the link after a short time, so until that has passed, requests with unknown keys are held.
-//   - The predecessor lives without a link. It still has the authority, and nobody can be asked. Requests with unknown keys
-//     fail until it has exited, and after that until the windows of all that it may have run have ended.
+//   - The predecessor runs without a link. It still has the authority, but can't be asked. Requests with unknown keys fail
+//     until it has exited, and after that until the windows of all requests that it may have run have ended.
 //
-// The predecessor goes on as before when it loses its successor, since that runs nothing unasked. A successor of an older
+// The predecessor continues as before when it loses its successor, since that runs nothing unasked. A successor of an older
 // version does not follow this rule: it takes the end of the link for the exit of the predecessor, and runs every key. If the
 // link to such a successor ends, the predecessor follows the third rule itself.
 //
 // Invariants, in any order of joins, ends of links, announcements and exits, between processes of this version: no key runs in
-// both processes within its window, and of two processes that live, at most one runs unknown keys unasked. They hold if a
-// predecessor whose link ends, and that does not announce its end, either exits with it, or lives on for exitTime.
+// both processes within its window, and of two running processes, at most one runs unknown keys unasked. They hold if a
+// predecessor whose link ends, and that does not announce its end, either exits with it, or runs for at least exitTime after that.
 package keyauthority
 
 import "time"
 
-// exitTime is how long a process may live after it has closed its links: it waits for its last answers to be written and for
+// exitTime is the maximum time from the close of the links of a process to its exit: it waits for its last answers to be written and for
 // the program's extension.
 const exitTime = 400 * time.Millisecond
 
-// Decision says what to do with a request whose key is unknown.
+// Decision is how a request whose key is unknown is handled.
 type Decision uint8
 
 // The decisions.
@@ -43,15 +43,15 @@
 // String returns the name of the decision.
 func (d Decision) String() string { return [...]string{"run", "claim", "hold", "fail"}[d] }
 
-// peerState is what is known of another process.
+// peerState is the state of another process, as this one has observed it.
 type peerState uint8
 
 const (
 	absent   peerState = iota // there is none, or it runs nothing more
 	linked                    // there is a link to it
 	closed                    // its link has ended, and it may be about to exit
-	unlinked                  // it lives without a link
-	exited                    // it has exited after it had lived without a link
+	unlinked                  // it runs without a link
+	exited                    // it has exited after it had run without a link
 )
 
 func (s peerState) String() string {
@@ -61,10 +61,10 @@
 // peer is another process of the image server.
 type peer struct {
 	state peerState
-	until time.Duration // closed: end of the time to exit; exited: end of the windows of what it may have run
+	until time.Duration // closed: end of the time to exit; exited: end of the windows of the requests that it may have run
 }
 
-func (p *peer) lives() bool { return p.state != absent && p.state != exited }
+func (p *peer) alive() bool { return p.state != absent && p.state != exited }
 
 // linkEnded records the end of the link at now.
 func (p *peer) linkEnded(now time.Duration) {
@@ -119,11 +119,11 @@
 // SuccessorLinkEnded records the end of the link to the successor.
 func (a *Authority) SuccessorLinkEnded(now time.Duration) { a.successor.linkEnded(now) }
 
-// PredecessorLives reports whether the predecessor lives and may run requests, as far as is known, whether or not it is linked.
-func (a *Authority) PredecessorLives() bool { return a.predecessor.lives() }
+// PredecessorAlive reports whether a predecessor that may run requests was observed last, linked or not.
+func (a *Authority) PredecessorAlive() bool { return a.predecessor.alive() }
 
-// SuccessorLives reports whether a successor lives, as far as is known, whether or not it is linked.
-func (a *Authority) SuccessorLives() bool { return a.successor.lives() }
+// SuccessorAlive reports whether a successor was observed last, linked or not.
+func (a *Authority) SuccessorAlive() bool { return a.successor.alive() }
 
 // Observe records whether other processes of the image server are alive. It must be called at each end of a link, and
 // regularly while others are alive. window is the longest idempotency window, with the time by which a request may be run after
--- a/internal/keyauthority/authority_test.go
+++ b/internal/keyauthority/authority_test.go
@@ -66,7 +66,7 @@
 		}
 		authority.SuccessorLinkEnded(0)
 		authority.Observe(exitTime, true, testWindow)
-		require.True(t, authority.SuccessorLives())
+		require.True(t, authority.SuccessorAlive())
 		if asks {
 			require.Equal(t, Run, authority.Decide())
 		} else {
@@ -74,7 +74,7 @@
 		}
 		authority.Observe(2*exitTime, false, testWindow)
 		authority.Observe(2*exitTime+testWindow, false, testWindow)
-		require.False(t, authority.SuccessorLives())
+		require.False(t, authority.SuccessorAlive())
 		require.Equal(t, Run, authority.Decide())
 	}
 }
@@ -91,7 +91,7 @@
 	require.Equal(t, Run, authority.Decide())
 }
 
-// modelProcess is a process of the model, with the keys that it knows: those that it has run or granted, or was told of.
+// modelProcess is a process of the model, with the keys that it knows: those that it has run or granted, or that were announced to it.
 type modelProcess struct {
 	Authority
 	alive bool
@@ -106,7 +106,7 @@
 	now                    time.Duration
 	predecessor, successor modelProcess
 	linked                 bool
-	lostAt                 time.Duration         // when the link ended while both lived
+	lostAt                 time.Duration         // when the link ended while both processes ran
 	ran                    map[int]time.Duration // end of the window of the last run, by key
 }
 
@@ -149,7 +149,7 @@
 	m.observe()
 }
 
-// exit ends the predecessor. A process whose link was lost in passing lives on for longer than exitTime.
+// exit ends the predecessor. A process whose link was lost before its end runs for longer than exitTime after that.
 func (m *model) exit(announced bool) {
 	if !m.predecessor.alive || !m.linked && m.now < m.lostAt+2*exitTime {
 		return
--- a/internal/keyauthority/example_test.go
+++ b/internal/keyauthority/example_test.go
@@ -7,8 +7,8 @@
 	"falldeal/internal/keyauthority"
 )
 
-// The link to the predecessor ends while that lives on. Unknown keys fail until it has exited and the windows of what it may
-// have run have ended.
+// The link to the predecessor ends while that continues to run. Unknown keys fail until it has exited and the windows of all
+// requests that it may have run have ended.
 func Example() {
 	const window = 5 * time.Second
 	var authority keyauthority.Authority
--- a/internal/server/completed.go
+++ b/internal/server/completed.go
@@ -22,8 +22,8 @@
 //
 //   - No attempt is run twice. The IDs of those that were run are kept until a copy would be invalid because of its arrival
 //     time. If there is no room for another one, the request is not run.
-//   - No attempt is answered twice. Of those that were answered without a run, the latest are kept, at most for as long. A copy
-//     that arrives later is handled like any other request: it gets an answer of its own, and may run once.
+//   - No attempt is answered twice. Of those that were answered without a run, the latest are kept, at most for the same time. A copy
+//     that arrives later is handled like any other request: it is answered, and may run once.
 type completedIDs struct {
 	seed   maphash.Seed
 	ran    idGenerations
@@ -68,8 +68,8 @@
 
 func (c *completedIDs) hash(id string) idHash { return idHash(maphash.String(c.seed, id)) }
 
-// idHash stands for an ID, in a quarter of its memory. With a hundred thousand IDs, one attempt in 10^14 is taken for
-// another.
+// idHash stands for an ID, in a quarter of its memory. With a hundred thousand IDs, one attempt in 10^14 is
+// assumed to be a copy of another.
 type idHash uint64
 
 // idGenerations is a set of IDs in two generations, of which the older one is dropped as a whole.
--- a/internal/server/completed_test.go
+++ b/internal/server/completed_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// floodServer is a server whose client sends requests of one class, as fast as they are answered.
+// floodServer is a server whose client sends the next request of one class once the last one was answered.
 type floodServer struct {
 	*simulatedServer
 	connection *countingConnection
@@ -52,7 +52,7 @@
 	require.EqualValues(t, 1, server.stats.Invalid)
 }
 
-// Requests that the agent rejects never ran. Their IDs must not be kept like those of requests that did.
+// Requests that the agent rejects never ran. Their IDs must not be kept like those of requests that ran.
 func TestIDsOfRunsThatNeverStartedAreBounded(t *testing.T) {
 	server := newFloodServer(t)
 	for i := range 3 * maxRecentIDs {
@@ -66,8 +66,8 @@
 	require.LessOrEqual(t, server.completed.size(), 2*maxRecentIDs)
 }
 
-// The ID of a request that was run must be known for as long as a copy of it is valid, however many requests are rejected
-// meanwhile. If there is no room for another ID, a request must be rejected, and not run with a copy that might run as well.
+// The ID of a request that was run must be known while a copy of it is valid, however many requests are rejected
+// until then. If there is no room for another ID, a request must be rejected, and not run with a copy that might run as well.
 func TestIDsOfRunsAreKeptDuringFlood(t *testing.T) {
 	server := newFloodServer(t)
 	ran := server.send("aa", time.Second)
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -87,7 +87,7 @@
 	if s.drain.started() {
 		return
 	}
-	replaced := s.handover.authority.SuccessorLives()
+	replaced := s.handover.authority.SuccessorAlive()
 	s.log.WithField("replaced", replaced).Info("drain started")
 	if replaced {
 		s.announcer.Stop()
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -9,7 +9,7 @@
 
 // Handover: while a successor takes the place of its predecessor, two processes form one image server. A request with an
 // idempotency key is run by one of them only: the predecessor knows by which, and the successor claims a key before it
-// runs a request with it (claims.go). Each process tells the other of its runs and their results, which answer attempts at
+// runs a request with it (claims.go). Each process announces its runs and their results to the other, which answer attempts at
 // both (key_outbox.go). Package keyauthority decides who may run a key after the link between them has ended.
 
 // maxUnwrittenAnswers is the number of unwritten messages to a process above which its claims are not answered. Only a process
@@ -24,9 +24,9 @@
 	rejoining   bool           // the link to the predecessor ended before its keys were known here
 
 	authority keyauthority.Authority
-	decision  keyauthority.Decision // of authority, when it was looked at last
+	decision  keyauthority.Decision // of authority, when it was applied last
 	claims    claimTable
-	outboxes  map[*handover.Link]*keyOutbox // what the other processes are still to be told
+	outboxes  map[*handover.Link]*keyOutbox // keys that are still to be announced to the other processes
 }
 
 func newHandoverState() handoverState {
@@ -176,7 +176,7 @@
 // handleKeyGranted resumes the requests that wait for a key. If none of them is active any more, it releases the key.
 func (s *Server) handleKeyGranted(link *handover.Link, key string) {
 	if outbox := s.handover.outboxes[link]; outbox != nil {
-		outbox.told[key] = toldKnown
+		outbox.announced[key] = announcedKnown
 	}
 	s.resumeClaimed(key)
 	if s.idempotency.entries[key] == nil {
@@ -218,8 +218,8 @@
 	}
 }
 
-// peerEnded handles the end of a link, whether or not the other process lives on. It reports whether the predecessor must be
-// looked for again: without its keys this process can't serve.
+// peerEnded handles the end of a link, whether or not the other process continues to run. It reports whether the predecessor must be
+// joined again: without its keys this process can't serve.
 func (s *Server) peerEnded(link *handover.Link) (rejoin bool) {
 	delete(s.handover.outboxes, link)
 	switch link {
@@ -237,9 +237,9 @@
 	return rejoin
 }
 
-// predecessorLinkEnded handles the end of the link to the predecessor, and reports whether that must be looked for again.
+// predecessorLinkEnded handles the end of the link to the predecessor, and reports whether that must be joined again.
 func (s *Server) predecessorLinkEnded(link *handover.Link) (rejoin bool) {
-	finished := !s.handover.authority.PredecessorLives()
+	finished := !s.handover.authority.PredecessorAlive()
 	s.handover.authority.PredecessorLinkEnded(s.clock.now)
 	if finished || s.listeners.opened {
 		return false
@@ -283,7 +283,7 @@
 	}
 }
 
-// observeAuthority looks at the processes for package keyauthority, and applies its decision.
+// observeAuthority passes the processes that are alive to package keyauthority, and applies its decision.
 func (s *Server) observeAuthority() {
 	unlinked := s.processes.alive - 1 - len(s.handover.links())
 	s.handover.authority.Observe(s.clock.now, unlinked > 0, s.config.longestIdempotencyWindow()+windowSlack)
--- a/internal/server/idempotency.go
+++ b/internal/server/idempotency.go
@@ -31,11 +31,11 @@
 	byRequest      map[*activeRequest]*idempotencyEntry // entries of active requests
 	resultBytes    int                                  // total size of all retained results
 	maxResultBytes int                                  // upper bound of resultBytes
-	observer       keyObserver                          // tells the other processes of this image server
+	observer       keyObserver                          // announces keys to the other processes of this image server
 	deadlines      *deadline.Queue                      // holds the expiries of entries
 }
 
-// keyObserver is told of the changes of keys that this process owns.
+// keyObserver receives the changes of keys that this process owns.
 type keyObserver interface {
 	keyChanged(key string) // it was run, or dropped without a run
 	runCompleted(key string, result runResult)
--- a/internal/server/inbox_test.go
+++ b/internal/server/inbox_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Messages of other processes must be handled before all that clients have sent, which is as much as the inbox holds. A process
+// Messages of other processes must be handled before all that clients have sent, which may fill the inbox. A process
 // fell behind the other one otherwise, whose queue of messages then was full.
 func TestMessagesOfOtherProcessesAreHandledFirst(t *testing.T) {
 	server, _ := newServerWithoutLoop(t)
--- a/internal/server/key_outbox.go
+++ b/internal/server/key_outbox.go
@@ -22,32 +22,32 @@
 	keyMessageBytes = 200
 )
 
-// toldState is what another process was told last of a key of this process.
-type toldState uint8
+// announcedState is the state of a key of this process that was announced to another one last.
+type announcedState uint8
 
 const (
-	toldNothing toldState = iota // nothing, or that its run has ended, after which nothing follows
-	toldKnown                    // the key is in use here, and the other process waits for its outcome
-	toldRunning                  // the key was run, with the window of that run
+	announcedNothing announcedState = iota // nothing, or that its run has ended, after which nothing follows
+	announcedKnown                         // the key is in use here, and the other process waits for its outcome
+	announcedRunning                       // the key was run, with the window of that run
 )
 
-func (t toldState) String() string { return [...]string{"nothing", "known", "running"}[t] }
+func (t announcedState) String() string { return [...]string{"nothing", "known", "running"}[t] }
 
-// keyOutbox tells another process of the keys of this one, from their current state: a key that changes several times before
-// there is room for a message is told of once. So what waits for a process that reads slowly is bounded by the number of keys,
+// keyOutbox announces the keys of this process to another one, from their current state: a key that changes several times
+// before there is room for a message is announced once. So what waits for a process that reads slowly is bounded by the number of keys,
 // and not by the number of requests.
 //
-// A process is told only of keys that were run. It claims any other key before it runs it, and gets the state of that key as
+// Only keys that were run are announced. The other process claims any other key before it runs it, and gets the state of that key as
 // the answer. A request that is rejected thus causes a message only if the other process has asked for its key.
 type keyOutbox struct {
 	link      *handover.Link
-	successor bool                 // link leads to a successor, which must first be told of all keys
-	started   bool                 // the first keys may be sent
-	unsent    map[string]struct{}  // keys that were known when the successor joined, and are still to be sent
-	synced    bool                 // all of those were sent
-	changed   map[string]struct{}  // keys with changes that wait for room
-	told      map[string]toldState // without toldNothing
-	retry     bool                 // a deadline continues to send
+	successor bool                      // link leads to a successor, to which all keys must be announced first
+	started   bool                      // the first keys may be sent
+	unsent    map[string]struct{}       // keys that were known when the successor joined, and are still to be sent
+	synced    bool                      // all of those were sent
+	changed   map[string]struct{}       // keys with changes that wait for room
+	announced map[string]announcedState // without announcedNothing
+	retry     bool                      // a deadline continues to send
 }
 
 func newKeyOutbox(link *handover.Link, successor bool) *keyOutbox {
@@ -57,7 +57,7 @@
 		started:   !successor,
 		synced:    !successor,
 		changed:   map[string]struct{}{},
-		told:      map[string]toldState{},
+		announced: map[string]announcedState{},
 	}
 }
 
@@ -76,22 +76,22 @@
 	o.link.Publish(o.announce(entry)...)
 }
 
-// announce returns the messages that tell of an entry, and records that they are sent.
+// announce returns the messages that announce an entry, and records that they are sent.
 func (o *keyOutbox) announce(entry *idempotencyEntry) []handover.Message {
 	messages := []handover.Message{entry.known()}
 	switch entry.state {
 	case entryCompleted:
-		delete(o.told, entry.key)
+		delete(o.announced, entry.key)
 		messages = append(messages, o.completion(entry))
 	case entryRunning:
-		o.told[entry.key] = toldRunning
+		o.announced[entry.key] = announcedRunning
 	case entryPending:
-		o.told[entry.key] = toldKnown
+		o.announced[entry.key] = announcedKnown
 	}
 	return messages
 }
 
-// completion returns the message that tells of the end of the run of an entry. The result is left out if too many messages
+// completion returns the message that announces the end of the run of an entry. The result is left out if too many messages
 // wait: it would take memory here. The other process then knows that the key was run, and fails retries.
 func (o *keyOutbox) completion(entry *idempotencyEntry) handover.Message {
 	if !o.maySendResult() {
@@ -100,38 +100,38 @@
 	return handover.RunCompleted{IdempotencyKey: entry.key, OK: entry.reusable, Result: entry.result}
 }
 
-// changeMessages returns the messages that tell of the change of a key. entry is nil if the key has none.
+// changeMessages returns the messages that announce the change of a key. entry is nil if the key has none.
 func (o *keyOutbox) changeMessages(key string, entry *idempotencyEntry) []handover.Message {
-	told := o.told[key]
+	announced := o.announced[key]
 	switch {
-	case entry == nil && told != toldNothing:
-		delete(o.told, key)
+	case entry == nil && announced != announcedNothing:
+		delete(o.announced, key)
 		return []handover.Message{handover.KeyReleased{IdempotencyKey: key}}
 	case entry == nil, entry.owner != nil, !entry.hasRun():
-		return nil // nothing to tell, or the outcome follows
-	case entry.state == entryCompleted && told == toldRunning:
-		delete(o.told, key)
+		return nil // nothing to announce, or the outcome follows
+	case entry.state == entryCompleted && announced == announcedRunning:
+		delete(o.announced, key)
 		return []handover.Message{o.completion(entry)}
-	case entry.state == entryRunning && told == toldRunning:
+	case entry.state == entryRunning && announced == announcedRunning:
 		return nil
 	}
 	return o.announce(entry)
 }
 
-// concerns reports whether the other process must be told of a key, as it is now or as it was told of it. entry is nil if the
+// concerns reports whether a key, as it is now or as it was announced, must be announced to the other process. entry is nil if the
 // key has none.
 func (o *keyOutbox) concerns(key string, entry *idempotencyEntry) bool {
-	return o.told[key] != toldNothing || entry != nil && entry.owner == nil && entry.hasRun()
+	return o.announced[key] != announcedNothing || entry != nil && entry.owner == nil && entry.hasRun()
 }
 
-// keyChanged tells the other processes of a change of a key of this process, now or when there is room for it.
+// keyChanged announces a change of a key of this process to the other ones, now or when there is room for it.
 func (s *Server) keyChanged(key string) {
 	for _, outbox := range s.handover.outboxes {
 		s.sendChange(outbox, key)
 	}
 }
 
-// sendChange tells one process of a change of a key, now or when there is room for it.
+// sendChange announces a change of a key to one process, now or when there is room for it.
 func (s *Server) sendChange(outbox *keyOutbox, key string) {
 	switch {
 	case outbox.covers(key):
@@ -143,25 +143,25 @@
 	}
 }
 
-// runNotStarted records that the run of a key of this process did not start, after the other processes may have been told
-// that it did. They are told of the next run, or that the key was released.
+// runNotStarted records that the run of a key of this process did not start, after it may have been
+// announced. The next run, or the release of the key, is announced then.
 func (s *Server) runNotStarted(key string) {
 	for _, outbox := range s.handover.outboxes {
-		if outbox.told[key] != toldNothing {
-			outbox.told[key] = toldKnown
+		if outbox.announced[key] != announcedNothing {
+			outbox.announced[key] = announcedKnown
 		}
 	}
 }
 
-// runCompleted tells the other processes of the end of a run of this one. Unlike keyChanged, it passes on the result also if
+// runCompleted announces the end of a run of this process to the other ones. Unlike keyChanged, it passes on the result also if
 // that is not retained here.
 func (s *Server) runCompleted(key string, result runResult) {
 	for _, outbox := range s.handover.outboxes {
-		if outbox.covers(key) || outbox.told[key] != toldRunning || !outbox.maySendResult() {
+		if outbox.covers(key) || outbox.announced[key] != announcedRunning || !outbox.maySendResult() {
 			s.sendChange(outbox, key)
 			continue
 		}
-		delete(outbox.told, key)
+		delete(outbox.announced, key)
 		outbox.link.Publish(handover.RunCompleted{IdempotencyKey: key, OK: result.ok, Result: result.body})
 	}
 }
@@ -169,7 +169,7 @@
 // keyForgotten records that the window of a key of this process has ended. The other processes know its end.
 func (s *Server) keyForgotten(key string) {
 	for _, outbox := range s.handover.outboxes {
-		delete(outbox.told, key)
+		delete(outbox.announced, key)
 	}
 }
 
--- a/internal/server/peers_test.go
+++ b/internal/server/peers_test.go
@@ -128,10 +128,10 @@
 	require.True(t, fixture.submitWithKey("bb").running())
 }
 
-// A predecessor that has lost its link to a living successor must go on as the one that decides, and SIGTERM must not announce
+// A predecessor that has lost its link to a running successor must continue to decide, and SIGTERM must not announce
 // that the image server takes no work: the successor serves. If the successor is of an older version, which then runs keys
 // unasked, this process must run no key that it does not know.
-func TestPredecessorGoesOnWithoutLink(t *testing.T) {
+func TestPredecessorContinuesWithoutLink(t *testing.T) {
 	for _, asks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("successor asks: %v", asks), func(t *testing.T) {
 			fixture, _ := newFixtureWithOtherProcess(t)
@@ -159,7 +159,7 @@
 }
 
 // Requests that the predecessor rejects must not send anything: clients that repeat what is rejected filled the link, which
-// then ended while both processes lived.
+// then ended while both processes ran.
 func TestRejectedRequestsSendNothing(t *testing.T) {
 	fixture := newHandoverFixture(t)
 	fixture.successorJoined(fixture.link)
@@ -178,7 +178,7 @@
 	require.Zero(t, fixture.tables().PeerKeys)
 }
 
-// What waits for a process that does not read must be bounded by what there is to tell, and not by what clients send.
+// The messages that wait for a process that does not read must be bounded by the number of keys, and not by that of requests.
 func TestMessagesToProcessThatDoesNotReadAreBounded(t *testing.T) {
 	fixture := newHandoverFixture(t)
 	fixture.successorJoined(fixture.link)
@@ -192,10 +192,10 @@
 	require.LessOrEqual(t, fixture.link.Unwritten(), maxUnwrittenChanges)
 	require.LessOrEqual(t, fixture.tables().PeerKeys, maxUnwrittenChanges)
 	outbox := fixture.handover.outboxes[fixture.link]
-	require.LessOrEqual(t, len(outbox.told), 2*maxUnwrittenChanges)
+	require.LessOrEqual(t, len(outbox.announced), 2*maxUnwrittenChanges)
 }
 
-// submitMany submits requests with different keys on connections of their own, as many as one may have open on each.
+// submitMany submits requests with different keys on connections of their own, 32 on each.
 func (f *handoverFixture) submitMany(count int, timeout time.Duration) {
 	var conn *countingConnection
 	for i := range count {
@@ -250,7 +250,7 @@
 	}
 	require.LessOrEqual(t, fixture.deadlines.Len(), deadlines+2, "those of the controller's next step")
 	require.Zero(t, fixture.idempotency.size())
-	require.Empty(t, fixture.handover.outboxes[fixture.link].told)
+	require.Empty(t, fixture.handover.outboxes[fixture.link].announced)
 }
 
 // A claim that was answered must leave no deadline behind, which held its request for up to half a second.
@@ -270,8 +270,8 @@
 	require.Equal(t, 1, fixture.handover.claims.size(), "its answer is still to come")
 }
 
-// A key that was run again after the agent had not started its first run must be told of with the window of that run.
-func TestSecondRunOfKeyIsToldOf(t *testing.T) {
+// A key that was run again after the agent had not started its first run must be announced with the window of that run.
+func TestSecondRunOfKeyIsAnnounced(t *testing.T) {
 	fixture := newHandoverFixture(t)
 	fixture.successorJoined(fixture.link)
 	fixture.expect("synced")
--- a/internal/server/tables.go
+++ b/internal/server/tables.go
@@ -5,7 +5,7 @@
 	"falldeal/internal/stats"
 )
 
-// tables returns the current sizes of the tables and queues that grow with what clients send.
+// tables returns the current sizes of the tables and queues that grow with the requests of clients.
 func (s *Server) tables() stats.Tables {
 	tables := stats.Tables{
 		CompletedIDs: s.completed.size(),
--- a/internal/stats/tables.go
+++ b/internal/stats/tables.go
@@ -1,6 +1,6 @@
 package stats
 
-// Tables are the current sizes of the tables and queues of a server that grow with what clients send, in entries. Each has
+// Tables are the current sizes of the tables and queues of a server that grow with the requests of clients, in entries. Each has
 // a bound, which docs/capacity.md states.
 type Tables struct {
 	CompletedIDs        int // IDs of attempts that were run or answered recently
@@ -10,7 +10,7 @@
 	InboxEvents         int // events that wait for the event loop
 	Claims              int // idempotency keys that requests wait for, as another process may have run them
 	PeerMessages        int // messages to other processes of the image server that are not written yet
-	PeerKeys            int // idempotency keys of which other processes are still to be told
+	PeerKeys            int // idempotency keys that are still to be announced to other processes
 }
 
 // tableSize is the size of a table with the name under which it is logged and published.
--- a/lab/clients/flood.go
+++ b/lab/clients/flood.go
@@ -30,7 +30,7 @@
 	// RequestsPerConnection is the number of requests after which a client opens a new connection; 0: unlimited.
 	RequestsPerConnection int
 	Class                 string
-	Keyed                 bool          // each request has an idempotency key of its own
+	Keyed                 bool          // each request has a different idempotency key
 	Timeout               time.Duration // stated in each request
 	Cancel                bool          // each request is cancelled at once; a client then does not wait for answers
 }
--- a/lab/fakes/agent_run.go
+++ b/lab/fakes/agent_run.go
@@ -31,8 +31,8 @@
 	completed    bool
 }
 
-// startRun starts a run: with its call if the plan has one, otherwise with its work. It rejects the run instead if the plan
-// says so.
+// startRun starts a run: with its call if the plan has one, otherwise with its work. If Rejected is set in
+// the plan, it rejects the run.
 func (a *Agent) startRun(started *run) {
 	if a.PlanRun != nil {
 		started.plan = a.PlanRun(started.launch)
--- a/lab/replacement/flood_test.go
+++ b/lab/replacement/flood_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// metrics returns what a process publishes to operators.
+// metrics returns the metrics that a process publishes to operators.
 func (s *imageServer) metrics(of *process) string {
 	response, err := http.Get("http://" + of.console + "/metrics") //nolint:noctx // the test has a time limit
 	if err != nil {
